--- a/src/main/kotlin/lichenstage/app/Controller.kt
+++ b/src/main/kotlin/lichenstage/app/Controller.kt
@@ -29,6 +29,7 @@
 import lichenstage.placement.LeaderActor
 import lichenstage.placement.LeaderMessage
 import lichenstage.state.StateClient
+import org.slf4j.LoggerFactory
 
 /** Wires the actors of one process together. */
 class Controller(
@@ -37,21 +38,26 @@
     private val operator: Operator,
     private val scope: CoroutineScope,
 ) {
+    private val log = LoggerFactory.getLogger("lichenstage.app")
     private val clock = Clock.steady
+    private val controllers = settings.peers.size + 1
     private val metrics = Metrics()
     private val state =
-        StateClient(vertx, settings.state, clock, 1.0 / settings.count.coerceAtLeast(1), settings.stateRps, settings.stateWriteRps)
+        StateClient(vertx, settings.state, clock, controllers, settings.stateRps, settings.stateWriteRps, ::writeShare)
     private val cloud = CloudClient(vertx, settings.cloud)
     private val catalog = Catalog(cloud, state, scope)
     private val authority = Authority(settings, state, clock, scope, ::viewChanged)
     private val links = Links(vertx, settings, clock, scope, authority::stateAnswers, ::received)
     private val forwarder = Forwarder({ links.peerWithState() }) { to, frame -> links.send(to, frame) }
-    private val jobs = JobsActor(state, catalog, settings.teams, authority::stateAnswers, forwarder, scope)
+    private val jobs = JobsActor(state, settings.txnOps, catalog, settings.teams, authority::stateAnswers, forwarder, scope)
     private val part = PartActor(settings, authority, clock, scope, WorkerClient(vertx), catalog::build, ::toLeader)
     private val api = HttpApi(vertx, settings.listen, jobs, part, metrics, clock, ::healthy)
     private var leader: LeaderActor? = null
 
     fun start() {
+        if (settings.count != controllers) {
+            log.error("settings.count is {}, but with this one seeds name {} controllers", settings.count, controllers)
+        }
         metrics.gauge("leading") { if (leader != null) 1 else 0 }
         metrics.gauge("open_jobs") { leader?.openJobs ?: 0 }
         metrics.gauge("machines") { part.machineCount }
@@ -60,14 +66,24 @@
         links.start()
         authority.start()
         catalog.start()
+        jobs.start()
         scope.launch {
             while (isActive) {
                 delay(HAND_BACK_MS)
-                settings.peers.filter { links.steady(it.label) }.forEach { authority.release(it.zone) }
+                for (part in settings.parting.parts) {
+                    val home = settings.parting.home(part)
+                    if (home != null && home != settings.label && links.steady(home)) authority.release(part)
+                }
             }
         }
     }
 
+    /** The leader records what is done and which machines there are; the others write for their users alone. */
+    private fun writeShare(): Double {
+        val other = OTHERS_SHARE / controllers
+        return if (leader != null) 1 - other * (controllers - 1) else other
+    }
+
     /**
      * While the state service is away from everybody, all stay healthy, so that users come back to somebody as soon as it
      * is back; a node that it alone does not answer sends its users to the others.
@@ -95,15 +111,12 @@
                 scope,
                 mine.term,
                 mine.stamp,
-                policy(),
+                operator.fleet(FleetPolicy()),
                 operator.timers,
                 links::send,
             )
     }
 
-    /** Starts promised sooner than a machine boots can only be had on machines that are kept up. */
-    private fun policy() = operator.fleet(FleetPolicy(speedFirst = settings.startWithinUs != null))
-
     private fun toLeader(frame: PartFrame) {
         val holder = authority.view().leader ?: return
         links.send(holder.label, frame)
@@ -134,5 +147,8 @@
 
     private companion object {
         const val HAND_BACK_MS = 3_000L
+
+        /** The part of the state service's changes that is shared equally; the leader has the rest. */
+        const val OTHERS_SHARE = 0.5
     }
 }
--- a/src/main/kotlin/lichenstage/app/HttpApi.kt
+++ b/src/main/kotlin/lichenstage/app/HttpApi.kt
@@ -127,7 +127,7 @@
         request: HttpServerRequest,
         body: Buffer,
     ) {
-        val report = json(body)?.let(WorkerCodec::report)
+        val report = WorkerCodec.report(body)
         if (report == null) {
             log.info("a report that can't be read from {}", request.remoteAddress())
             return fail(request, 400, "not a report")
@@ -149,13 +149,6 @@
     private fun health(request: HttpServerRequest) =
         if (healthy()) write(request, 200, JsonObject().put("status", "ok")) else fail(request, 503, "not ready")
 
-    private fun json(body: Buffer): JsonObject? =
-        try {
-            JsonObject(body)
-        } catch (_: RuntimeException) {
-            null
-        }
-
     private fun reply(
         request: HttpServerRequest,
         reply: Reply,
--- a/src/main/kotlin/lichenstage/app/Rehearsal.kt
+++ b/src/main/kotlin/lichenstage/app/Rehearsal.kt
@@ -1,9 +1,10 @@
 package lichenstage.app
 
-import io.vertx.core.json.JsonObject
+import io.vertx.core.buffer.Buffer
 import lichenstage.cluster.FrameCodec
 import lichenstage.cluster.LeaderFrame
 import lichenstage.cluster.PartFrame
+import lichenstage.cluster.Parting
 import lichenstage.cluster.Shape
 import lichenstage.jobs.JobRecord
 import lichenstage.jobs.JobSpec
@@ -48,19 +49,19 @@
     val team = Team("t", 0.0, 99.0, 0.0, 99.0)
     val sent = ArrayList<LeaderFrame>()
     val leader =
-        LeaderCore(1, 1, listOf("z"), mapOf("t" to team), SECOND, Timers(), Goals(emptyList()), { shape }) {
+        LeaderCore(1, 1, Parting(listOf("z"), emptyMap()), mapOf("t" to team), SECOND, Timers(), Goals(emptyList()), { shape }, 10) {
             if (it is Effect.Send) sent += FrameCodec.decode(FrameCodec.encode(it.frame)) as LeaderFrame
         }
     val spec =
         JobSpec("j-1", "c", "t", Priority.HIGH, 1, shape, null, null, false, false, true, "i", 1.0, SECOND, 0, 0, null, 0)
     leader.jobAdded(Job(JobRecord.decode(JobRecord.encode(spec)), 1, 0))
-    leader.registered(mapOf("m" to "z"))
-    val part = PartCore("z", 2, 20 * SECOND, SECOND, 0) { Build("b", shape) }
+    leader.registered(mapOf("m" to "z/0"))
+    val part = PartCore("z/0", "z", 2, 20 * SECOND, SECOND, 0) { Build("b", shape) }
     for (now in 1L..6L) {
         val tasks = if (now < 5) "" else """{"part":"j-1/0","try":4294967297,"status":"ended","cause":"done"}"""
         val report =
             """{"holdfast":"m","addr":"127.0.0.1:1","build":"b","yard":"z","tenure":1,"tally":$now,"warrant":2,"parts":[$tasks]}"""
-        (part.report(WorkerCodec.report(JsonObject(report))!!, now * SECOND) as ReportAnswer.Accepted)
+        (part.report(WorkerCodec.report(Buffer.buffer(report))!!, now * SECOND) as ReportAnswer.Accepted)
             .let { WorkerCodec.orders(it.token, it.commands).encode() }
         leader.tick(now * SECOND)
         sent.forEach { part.leader(it, now * SECOND) }
--- a/src/main/kotlin/lichenstage/app/Settings.kt
+++ b/src/main/kotlin/lichenstage/app/Settings.kt
@@ -2,6 +2,7 @@
 
 import io.vertx.core.json.JsonArray
 import io.vertx.core.json.JsonObject
+import lichenstage.cluster.Parting
 
 /** Where a host can be reached: numbers only, since no name look-up exists on the machines. */
 data class Address(
@@ -52,13 +53,14 @@
     val stateRps: Double,
     val stateWriteRps: Double,
     val txnOps: Int,
+    val valueBytes: Int,
     val cloudRps: Double,
     val listLagUs: Long,
     val count: Int,
     val objectives: List<Objective>,
 ) {
-    /** The shortest wait before a start that users were promised, where there is such a promise. */
-    val startWithinUs get() = objectives.filter { it.kind == ObjectiveKind.WAIT }.mapNotNull { it.withinUs }.minOrNull()
+    /** How the machines are parted among the controllers. */
+    val parting by lazy { Parting(zones, peers.associate { it.label to it.zone } + (label to zone)) }
 
     companion object {
         /** Reads the platform's file; unknown fields are ignored, wrong ones are named. */
@@ -84,6 +86,7 @@
                 stateRps = state.number("rps", 1.0),
                 stateWriteRps = state.number("write_rps", 1.0),
                 txnOps = state.number("txn_ops", 2.0).toInt(),
+                valueBytes = (state.number("value_kb", 0.25, 8.0) * 1024).toInt(),
                 cloudRps = cloud.number("rps", 0.01),
                 listLagUs = cloud.micros("list_lag_s"),
                 count = settings.number("count", 1.0).toInt(),
--- a/src/main/kotlin/lichenstage/authority/Authority.kt
+++ b/src/main/kotlin/lichenstage/authority/Authority.kt
@@ -5,6 +5,7 @@
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import lichenstage.app.Clock
+import lichenstage.app.JsonHttp.Companion.parsed
 import lichenstage.app.MILLI
 import lichenstage.app.SECOND
 import lichenstage.app.Settings
@@ -47,7 +48,12 @@
     private val lifeUs = (settings.workerLeaseUs * 4 / 10).coerceIn(5 * SECOND, 8 * SECOND)
     private val lease = LocalLease(lifeUs)
     private var renewedUs = Long.MIN_VALUE / 2
+    private val parting = settings.parting
+    private val partKeys = parting.parts.map { PART + it }
     private val keys = HashMap<String, Entry>()
+
+    /** [keys] as holders, read once: they are asked for at every report. */
+    private val holders = HashMap<String, Holder>()
     private val missingSinceUs = HashMap<String, Long>()
     private var watching = false
 
@@ -62,11 +68,11 @@
 
     fun leading(): Holder? = mine(LEADER)
 
-    fun owning(zone: String): Holder? = mine(PART + zone)
+    fun owning(part: String): Holder? = mine(PART + part)
 
-    fun owner(zone: String): Holder? = holder(PART + zone)
+    fun owner(part: String): Holder? = holder(PART + part)
 
-    fun view() = View(holder(LEADER), settings.zones.mapNotNull { z -> holder(PART + z)?.let { z to it } }.toMap())
+    fun view() = View(holder(LEADER), parting.parts.mapNotNull { part -> holder(PART + part)?.let { part to it } }.toMap())
 
     /** True once this process has seen the state of the keys at least once. */
     fun ready() = watching && entitled()
@@ -85,15 +91,23 @@
     private fun mine(key: String) =
         holder(key)?.takeIf { it.label == settings.label && it.lease == lease.id && it.stamp !in givenUp && entitled() }
 
-    private fun holder(key: String): Holder? {
-        val entry = keys[key] ?: return null
-        val value = entry.value
-        return Holder(
-            value.getString("label") ?: return null,
-            value.getLong("term") ?: return null,
-            value.getLong("lease") ?: return null,
-            entry.stamp,
-        )
+    private fun holder(key: String): Holder? = holders[key]
+
+    private fun read(entry: Entry): Holder? =
+        parsed {
+            Holder(entry.value.getString("label")!!, entry.value.getLong("term")!!, entry.value.getLong("lease")!!, entry.stamp)
+        }
+
+    /** The key as of a newer change; null where it was deleted at [stamp]. */
+    private fun take(
+        key: String,
+        entry: Entry?,
+        stamp: Long,
+    ) {
+        if ((keys[key]?.stamp ?: 0) >= stamp) return
+        if (entry == null) keys.remove(key) else keys[key] = entry
+        val holder = if (entry == null || key == TERMS) null else read(entry)
+        if (holder == null) holders.remove(key) else holders[key] = holder
     }
 
     private suspend fun keepLease() {
@@ -144,7 +158,8 @@
                 continue
             }
             keys.clear()
-            scan.entries.forEach { keys[it.key] = it }
+            holders.clear()
+            scan.entries.forEach { take(it.key, it, it.stamp) }
             if (!watching) revokePredecessor()
             watching = true
             changed(view())
@@ -154,8 +169,8 @@
                 if (seen is Watched.TooOld) break
                 if (seen is Watched.Events) {
                     since = seen.revision
-                    seen.deletes.forEach { gone -> if ((keys[gone.key]?.stamp ?: 0) < gone.stamp) keys.remove(gone.key) }
-                    seen.puts.forEach { if ((keys[it.key]?.stamp ?: 0) < it.stamp) keys[it.key] = it }
+                    seen.deletes.forEach { take(it.key, null, it.stamp) }
+                    seen.puts.forEach { take(it.key, it, it.stamp) }
                     if (seen.puts.isNotEmpty() || seen.deletes.isNotEmpty()) {
                         changed(view())
                         acquireMissing()
@@ -183,14 +198,14 @@
      * to a worker after the new owner has begun would extend a lease that the new owner counts as run out. A delete without
      * an answer is sent again until the key is gone, or the part would be nobody's.
      */
-    suspend fun release(zone: String) {
-        val held = owning(zone) ?: return
-        val key = PART + zone
+    suspend fun release(part: String) {
+        val held = owning(part) ?: return
+        val key = PART + part
         givenUp += held.stamp
         changed(view())
         while (keys[key]?.stamp == held.stamp) {
             if (state.txn(mapOf(key to held.stamp), listOf(Change.Delete(key))) is Committed.Yes) {
-                if (keys[key]?.stamp == held.stamp) keys.remove(key)
+                if (keys[key]?.stamp == held.stamp) take(key, null, held.stamp + 1)
             } else {
                 delay(300)
             }
@@ -204,7 +219,7 @@
     private suspend fun acquireMissing() {
         if (!ready()) return
         val now = clock.now()
-        for (key in listOf(LEADER) + settings.zones.map { PART + it }) {
+        for (key in partKeys + LEADER) {
             if (keys.containsKey(key)) {
                 missingSinceUs.remove(key)
                 continue
@@ -214,20 +229,26 @@
         }
     }
 
-    /** The controller of a zone takes its own part at once; others wait a little, in an order that avoids collisions. */
+    /**
+     * A part's own controller takes it at once; others wait a little, in an order that avoids collisions. To lead costs about as
+     * much as a part: who has little else to do comes first.
+     */
     private fun patience(key: String): Long {
         val labels = (settings.peers.map { it.label } + settings.label).sorted()
         val rank = labels.indexOf(settings.label)
-        val held = keys.values.count { it.value.getString("label") == settings.label }
-        val home = settings.peers.any { PART + it.zone == key }
+        val held = holders.values.count { it.label == settings.label }
+        val home = parting.home(key.removePrefix(PART))
         return when {
-            key == PART + settings.zone -> 0
-            key == LEADER -> rank * 150 * MILLI
-            home && !everOwned(key) -> FIRST_PATIENCE_US + rank * 200 * MILLI
+            key == LEADER -> held * 150 * MILLI + rank * 50 * MILLI + if (roomy) 0 else 400 * MILLI
+            home == settings.label -> 0
+            home != null && !everOwned(key) -> FIRST_PATIENCE_US + rank * 200 * MILLI
             else -> 200 * MILLI + held * 250 * MILLI + rank * 100 * MILLI
         }
     }
 
+    /** The zone is shared with another controller, so that its own part is a smaller one. */
+    private val roomy = settings.peers.any { it.zone == settings.zone }
+
     /** Before anybody has owned a part its own controller is given time to start. */
     private fun everOwned(key: String) = (keys[TERMS]?.value?.getJsonArray("owned")?.contains(key)) == true
 
@@ -256,8 +277,8 @@
             if (outcome is Committed.Yes) {
                 log.info("took {} under term {}", key, term)
                 val mark = outcome.revision
-                if ((keys[TERMS]?.stamp ?: 0) < mark) keys[TERMS] = Entry(TERMS, counted, mark)
-                if ((keys[key]?.stamp ?: 0) < mark) keys[key] = Entry(key, value, mark)
+                take(TERMS, Entry(TERMS, counted, mark), mark)
+                take(key, Entry(key, value, mark), mark)
                 missingSinceUs.remove(key)
                 changed(view())
             } else {
--- a/src/main/kotlin/lichenstage/cluster/Frames.kt
+++ b/src/main/kotlin/lichenstage/cluster/Frames.kt
@@ -30,18 +30,24 @@
 data class JobFacts(
     val shape: Shape,
     val image: String,
+    val imageGb: Double = 0.0,
 )
 
 /** What passes between controllers. Every frame can be lost, late or repeated; each carries what is needed to see that. */
 @Serializable
 sealed interface Frame
 
+/** Says who connects. [life] rises from process to process: what an earlier one had under way is not heard any more. */
 @Serializable
 data class Hello(
     val label: String,
+    val life: Long = 0,
 ) : Frame
 
-/** A placement request: [count] tasks of one shape. [stamp] orders the requests at every part. */
+/**
+ * A placement request: [count] tasks of one shape. [stamp] orders the requests at every part. [warmFirst]: the start is promised
+ * so soon that room on a machine without the image is of little use.
+ */
 @Serializable
 data class Ask(
     val stamp: Long,
@@ -51,16 +57,16 @@
     val builds: List<String>?,
     val zone: String?,
     val spot: Boolean,
+    val warmFirst: Boolean = false,
 )
 
-/** Start one task on a machine for which request [stamp] holds room. */
+/** Start the task [index] of the job of request [stamp] on a machine that is held for it. */
 @Serializable
 data class StartOrder(
     val stamp: Long,
     val machine: String,
-    val task: String,
+    val index: Int,
     val attempt: Long,
-    val facts: JobFacts,
 )
 
 @Serializable
@@ -70,10 +76,13 @@
     val attempt: Long,
 )
 
-/** The leader's word to one part. Parts obey only the newest [term], and of its frames only those with a rising [seq]. */
+/**
+ * The leader's word to one part. Parts obey only the newest [term], and of its frames only those with a rising [seq]. [closed],
+ * the machines that get no more tasks, is null where it is as in the frames before.
+ */
 @Serializable
 data class LeaderFrame(
-    val zone: String,
+    val part: String,
     val term: Long,
     val seq: Long,
     val ackTerm: Long,
@@ -85,7 +94,7 @@
     val releases: List<Long> = emptyList(),
     val stops: List<AttemptOrder> = emptyList(),
     val clears: List<AttemptOrder> = emptyList(),
-    val closed: Set<String> = emptySet(),
+    val closed: Set<String>? = null,
 ) : Frame
 
 @Serializable
@@ -100,7 +109,7 @@
 )
 
 /**
- * A machine as its part knows it. [silent]: several reports are overdue. [lost]: silent for longer than its lease, so that
+ * A machine as its part knows it. [deaf]: orders to it go unheeded although it reports. [silent]: several reports are overdue. [lost]: silent for longer than its lease, so that
  * nothing runs on it any more.
  */
 @Serializable
@@ -110,6 +119,7 @@
     val build: String,
     val spot: Boolean,
     val settled: Boolean,
+    val deaf: Boolean,
     val silent: Boolean,
     val lost: Boolean,
     val recallUs: Long?,
@@ -131,16 +141,22 @@
     val held: List<Held>,
 )
 
-/** A part's word to the leader: all machines that changed after the version the leader has acknowledged. */
+/**
+ * A part's word to the leader: the machines that changed after the version the leader has acknowledged, in the order of their
+ * changes up to [version]. After a takeover that is all of them, in several frames: only when a frame brings the last piece
+ * ([whole]) does a missing machine or task mean something, and only then [seq] goes on.
+ */
 @Serializable
 data class PartFrame(
-    val zone: String,
+    val part: String,
     val term: Long,
     val ageUs: Long,
     val leaderTerm: Long,
     val seq: Long,
+    val heardSeq: Long,
     val since: Long,
     val version: Long,
+    val whole: Boolean,
     val machines: List<MachineView>,
     val offers: List<Offer>,
 ) : Frame
--- a/src/main/kotlin/lichenstage/cluster/Links.kt
+++ b/src/main/kotlin/lichenstage/cluster/Links.kt
@@ -17,6 +17,7 @@
 import lichenstage.app.SECOND
 import lichenstage.app.Settings
 import org.slf4j.LoggerFactory
+import java.util.concurrent.TimeUnit
 
 /** One outgoing connection to each of the other controllers, and the server that takes theirs. */
 class Links(
@@ -32,6 +33,10 @@
     private val heardUs = HashMap<String, Long>()
     private val wellSinceUs = HashMap<String, Long>()
     private val answeredByState = HashMap<String, Boolean>()
+
+    /** Of each controller, the newest process that has connected. */
+    private val lives = HashMap<String, Long>()
+    private val life = TimeUnit.MILLISECONDS.toMicros(System.currentTimeMillis())
     private val client = vertx.createNetClient(NetClientOptions().setConnectTimeout(1500).setTcpNoDelay(true))
 
     fun start() {
@@ -98,7 +103,7 @@
                 socket.closeHandler { closed.complete(Unit) }
                 socket.exceptionHandler { socket.close() }
                 socket.handler { }
-                socket.write(packed(Hello(settings.label)))
+                socket.write(packed(Hello(settings.label, life)))
                 sockets[peer.label] = socket
                 pauseMs = 200
                 closed.await()
@@ -115,6 +120,7 @@
 
     private fun accept(socket: NetSocket) {
         var label: String? = null
+        var itsLife = 0L
         var length = -1
         val parser = RecordParser.newFixed(4)
         parser.handler { buffer ->
@@ -133,8 +139,16 @@
                     }
                 val from = label
                 when {
-                    frame is Hello -> label = frame.label
-                    frame != null && from != null -> take(from, frame)
+                    frame is Hello -> {
+                        label = frame.label
+                        itsLife = frame.life
+                        lives.merge(frame.label, frame.life, ::maxOf)
+                    }
+
+                    // What a process had under way that has been followed by another is not heard any more.
+                    frame != null && from != null && itsLife == lives[from] -> {
+                        take(from, frame)
+                    }
                 }
             }
         }
--- /dev/null
+++ b/src/main/kotlin/lichenstage/cluster/Parting.kt
@@ -0,0 +1,53 @@
+package lichenstage.cluster
+
+/**
+ * How the machines are parted: a zone has one part for each controller in it, and one where it has none.
+ *
+ * The part of a machine follows from its zone and its name alone, so that every controller sees the same without a table.
+ * [controllers] are the labels of all controllers with their zones, as every controller's settings name them.
+ */
+class Parting(
+    zones: Collection<String>,
+    controllers: Map<String, String>,
+) {
+    private val homes = LinkedHashMap<String, String?>()
+    private val zoneOf = HashMap<String, String>()
+    private val byZone = LinkedHashMap<String, List<String>>()
+
+    init {
+        for (zone in zones.sorted()) {
+            val here = controllers.filterValues { it == zone }.keys.sorted()
+            byZone[zone] =
+                List(maxOf(here.size, 1)) { index ->
+                    "$zone/$index".also {
+                        homes[it] = here.getOrNull(index)
+                        zoneOf[it] = zone
+                    }
+                }
+        }
+    }
+
+    val parts: List<String> = homes.keys.toList()
+
+    /** The controller that normally owns the part; null where its zone has none. */
+    fun home(part: String): String? = homes[part]
+
+    fun zone(part: String): String? = zoneOf[part]
+
+    /** Null for a zone that the deployment does not have. */
+    fun partOf(
+        machine: String,
+        zone: String,
+    ): String? {
+        val parts = byZone[zone] ?: return null
+        return if (parts.size == 1) parts[0] else parts[Math.floorMod(spread(machine), parts.size)]
+    }
+
+    /** Names that differ only in their last digit must not fall into one part. */
+    private fun spread(name: String): Int {
+        var hash = name.hashCode()
+        hash = (hash xor (hash ushr 16)) * -0x7a143595
+        hash = (hash xor (hash ushr 13)) * -0x3d4d51cb
+        return hash xor (hash ushr 16)
+    }
+}
--- a/src/main/kotlin/lichenstage/cluster/Room.kt
+++ b/src/main/kotlin/lichenstage/cluster/Room.kt
@@ -5,27 +5,58 @@
  *
  * Room is counted in tasks of the request, and only as far as the request can use it: of two machines that both take all
  * that is left of it, neither is roomier. Among equals those with the image come first (a fetch takes as long as many
- * tasks run), then the fullest, so that small tasks don't take the last whole machines from large ones.
+ * tasks run), then the fullest, so that small tasks don't take the last whole machines from large ones. Where the start is
+ * promised sooner than the image comes, a machine without it has no room that can be used in time, and comes after those with it.
  */
 object Room {
     /** Up to [count] tasks on the roomiest of [offers], each machine filled before the next. */
     fun take(
         offers: List<Held>,
         count: Int,
+        warmFirst: Boolean = false,
     ): List<Held> {
-        val candidates = offers.filterTo(ArrayList()) { it.count > 0 }
+        if (count <= 0) return emptyList()
+        val sorted = offers.filterTo(ArrayList()) { it.count > 0 }
+        sorted.sortWith(if (warmFirst) WARM_FIRST else ROOMIEST)
         val taken = ArrayList<Held>()
         var left = count
-        while (left > 0 && candidates.isNotEmpty()) {
-            val best = candidates.maxWith(order(left))
-            candidates.remove(best)
-            val here = minOf(best.count, left)
-            taken += best.copy(count = here)
+        var next = 0
+        // While the roomiest is used up whole, the order does not depend on how much is left.
+        while (next < sorted.size && sorted[next].count <= left && left > 0) {
+            val whole = sorted[next++]
+            taken += whole
+            left -= whole.count
+        }
+        // Of the rest, machines that take all that is left are alike.
+        while (left > 0 && next < sorted.size) {
+            var best = next
+            for (i in next + 1 until sorted.size) if (before(sorted[i], sorted[best], left, warmFirst)) best = i
+            val held = sorted[best]
+            sorted[best] = sorted[next]
+            next++
+            val here = minOf(held.count, left)
+            taken += if (here == held.count) held else held.copy(count = here)
             left -= here
         }
         return taken
     }
 
-    private fun order(left: Int): Comparator<Held> =
-        compareBy<Held> { minOf(it.count, left) }.thenBy { it.warm }.thenByDescending { it.room }
+    private fun before(
+        one: Held,
+        other: Held,
+        left: Int,
+        warmFirst: Boolean,
+    ): Boolean {
+        if (warmFirst && one.warm != other.warm) return one.warm
+        val a = minOf(one.count, left)
+        val b = minOf(other.count, left)
+        return when {
+            a != b -> a > b
+            one.warm != other.warm -> one.warm
+            else -> one.room < other.room
+        }
+    }
+
+    private val ROOMIEST = compareByDescending<Held> { it.count }.thenByDescending { it.warm }.thenBy { it.room }
+    private val WARM_FIRST = compareByDescending<Held> { it.warm }.thenByDescending { it.count }.thenBy { it.room }
 }
--- a/src/main/kotlin/lichenstage/fleet/Estimate.kt
+++ b/src/main/kotlin/lichenstage/fleet/Estimate.kt
@@ -35,7 +35,7 @@
         val demand = ArrayList<Demand>()
         for (job in jobs) {
             val spec = job.spec
-            val left = spec.tasks - job.done.cardinality()
+            val left = job.left
             if (left <= 0 || job.phase != JobPhase.OPEN) continue
             val flavor = fitting(spec, flavors).minByOrNull { it.price / perMachine(it, spec.shape) } ?: continue
             val allowed = coresMax(spec.team) - (byTeam[spec.team] ?: 0.0)
@@ -43,12 +43,37 @@
             if (atOnce <= 0.0) continue
             byTeam.merge(spec.team, atOnce * spec.shape.cores, Double::plus)
             val per = perMachine(flavor, spec.shape).toDouble()
-            val fetchUs = (spec.imageGb * FETCH_US_PER_GB).toLong()
-            demand += Demand(flavor.name, spec.spot, atOnce / per, left / per * (runUs(spec) + fetchUs), dueUs(job))
+            val eachUs = (runUs(spec) + fetchUs(spec)) / per
+            val waiting = if (job.placeable) job.pending.size else left
+            demand +=
+                Demand(
+                    build = flavor.name,
+                    spot = spec.spot,
+                    machines = atOnce / per,
+                    workUs = left * eachUs,
+                    dueUs = dueUs(job),
+                    busy = job.alive.size / per,
+                    waitingUs = minOf(waiting.toDouble(), atOnce) * eachUs,
+                )
         }
         return demand
     }
 
+    /** What a job asks for over its whole life; null where no type fits. */
+    fun arrival(
+        job: Job,
+        flavors: Map<String, Flavor>,
+        runUs: Long,
+        urgent: (Flavor) -> Boolean,
+    ): Arrival? {
+        val spec = job.spec
+        val flavor = fitting(spec, flavors).minByOrNull { it.price / perMachine(it, spec.shape) } ?: return null
+        val machines = spec.tasks.toDouble() / perMachine(flavor, spec.shape)
+        return Arrival(flavor.name, job.arrivedUs, machines, runUs + fetchUs(spec), urgent(flavor))
+    }
+
+    private fun fetchUs(spec: JobSpec) = (spec.imageGb * FETCH_US_PER_GB).toLong()
+
     /** A rough allowance for fetches that tasks share. */
     private const val FETCH_US_PER_GB = 500_000
 }
--- a/src/main/kotlin/lichenstage/fleet/FleetCore.kt
+++ b/src/main/kotlin/lichenstage/fleet/FleetCore.kt
@@ -5,7 +5,7 @@
 
 /**
  * What a job still asks of machines of type [build]: at most [machines] at once, [workUs] of machine time, until [dueUs];
- * null where no promise is left to keep.
+ * null where no promise is left to keep. It uses [busy] machines now, and [waitingUs] of its work has not begun.
  */
 data class Demand(
     val build: String,
@@ -13,6 +13,8 @@
     val machines: Double,
     val workUs: Double,
     val dueUs: Long?,
+    val busy: Double = 0.0,
+    val waitingUs: Double = workUs,
 )
 
 /** A machine as the leader knows it from its part, for decisions on renting. */
@@ -37,22 +39,17 @@
     data object ListAll : CloudCall
 }
 
-/**
- * How machines are rented and returned. [speedFirst]: starts are promised sooner than a machine boots, so what the peak
- * needed is kept up; otherwise machines are rented for the work that waits, cheap ones first.
- */
+/** How machines are rented and returned. */
 data class FleetPolicy(
-    val speedFirst: Boolean,
     /** Work that is due sooner than this is not helped by renting. */
     val leastHorizonUs: Long = 40 * SECOND,
     /** The part of the time up to a promise in which its work should be done. */
     val slackUsed: Double = 0.5,
-    /** All that waits should be done within this time. */
+    /** What waits should be begun within this time. */
     val backlogUs: Long = 90 * SECOND,
     /** The part of a machine's time that can be filled. */
     val fill: Double = 0.85,
     val settleUs: Long = 45 * SECOND,
-    val peakUs: Long = 600 * SECOND,
 )
 
 /**
@@ -63,6 +60,7 @@
 class FleetCore(
     private val term: Long,
     private val policy: FleetPolicy,
+    private val forecast: Forecast,
 ) {
     private class Rented(
         val build: String,
@@ -85,9 +83,12 @@
     private var hires = 0L
     private var listedUs = Long.MIN_VALUE / 2
     private var wanted = emptyList<Demand>()
+
+    /** Types that jobs have asked for which may run on cheap machines. */
+    private val spotWelcome = HashSet<String>()
     private val surplusSinceUs = HashMap<String, Long>()
-    private val peaks = HashMap<String, Pair<Int, Long>>()
     private var listedOnce = false
+    private var returnedUs = Long.MIN_VALUE / 2
     private var swappedUs = Long.MIN_VALUE / 2
     var flavors = emptyMap<String, Flavor>()
 
@@ -123,10 +124,11 @@
         now: Long,
     ) {
         wanted = demand
-        // Where starts are promised, a machine that hangs is replaced before its lease has run out: its return is the
-        // fastest proof that its tasks may go elsewhere. Where many are silent, the network is at fault, not they.
+        demand.forEach { if (it.spot) spotWelcome += it.build }
+        // A machine that hangs is replaced before its lease has run out: its return is the fastest proof that its tasks may
+        // go elsewhere. Where many are silent, the network is at fault, not they.
         val silent = machines.keys.filter { seen(it)?.silent == true }
-        if (policy.speedFirst && silent.size <= MOST_SILENT) fence(silent)
+        if (silent.size <= maxOf(MOST_SILENT, machines.size / SILENT_SHARE)) fence(silent)
         for ((name, machine) in machines) {
             val view = seen(name)
             if (view != null && view.up) machine.upOnce = true
@@ -144,13 +146,14 @@
      */
     private fun shed(now: Long) {
         for ((build, group) in machines.values.filter { !it.giveBack }.groupBy { it.build }) {
-            val surplus = if (policy.speedFirst) 0 else group.size - need(build, now)
-            if (surplus <= 0) {
+            val surplus = group.size - need(build, now)
+            if (surplus <= 0 || forecast.learning(now)) {
                 surplusSinceUs.remove(build)
                 group.forEach { it.draining = false }
                 continue
             }
-            if (now - surplusSinceUs.getOrPut(build) { now } < policy.settleUs) continue
+            val settleUs = if (forecast.over(build, now)) policy.settleUs / 4 else policy.settleUs
+            if (now - surplusSinceUs.getOrPut(build) { now } < settleUs) continue
             val candidates =
                 group
                     .filter { it.upOnce && now - it.sinceUs > LEAST_US - 10 * SECOND }
@@ -161,8 +164,9 @@
     }
 
     /**
-     * How many machines of a type the work asks for: enough to work off whatever waits in a while (a busy machine costs the
-     * same now as later, and a backlog only grows late), and more where promises ask for it.
+     * How many machines of a type the work asks for: what the jobs to come will use, or more where what waits now could not be
+     * begun in a while without (a busy machine costs the same now as later, and a backlog only grows late) or where promises
+     * ask for it.
      */
     private fun need(
         build: String,
@@ -170,10 +174,10 @@
     ): Int {
         val here = wanted.filter { it.build == build }
         val parallel = here.sumOf { it.machines }
-        if (policy.speedFirst) return peak(build, ceil(parallel - 1e-9).toInt(), now)
-        val backlog = here.sumOf { it.workUs } / policy.fill / policy.backlogUs
+        val backlog = here.sumOf { it.busy } + here.sumOf { it.waitingUs } / policy.fill / policy.backlogUs
         val promised = pace(here.filter { it.dueUs != null }, now)
-        return ceil(minOf(parallel, maxOf(backlog, promised)) - 1e-9).toInt()
+        val expected = forecast.machines(build, policy.fill, now)
+        return ceil(maxOf(expected, minOf(parallel, maxOf(backlog, promised))) - 1e-9).toInt()
     }
 
     /** Machines with which all is done with room to spare: estimates are off, machines fail, and bursts come. */
@@ -191,26 +195,16 @@
         return most
     }
 
-    private fun peak(
-        build: String,
-        current: Int,
-        now: Long,
-    ): Int {
-        val (most, at) = peaks[build] ?: (0 to now)
-        if (current >= most || now - at > policy.peakUs) {
-            peaks[build] = current to now
-            return current
-        }
-        return most
-    }
-
     /** Machines whose return proves that nothing runs on them. */
     fun fence(names: List<String>) = names.forEach { machines[it]?.giveBack = true }
 
     fun next(now: Long): CloudCall? {
-        val back = machines.filterValues { it.giveBack }.keys.take(MOST_RETURNS)
-        if (back.isNotEmpty()) return CloudCall.GiveBack(back)
         unclear?.let { return CloudCall.Rent(it) }
+        val back = machines.filterValues { it.giveBack }.keys.take(MOST_RETURNS)
+        if (back.isNotEmpty() && now - returnedUs >= RETURN_US) {
+            returnedUs = now
+            return CloudCall.GiveBack(back)
+        }
         if (now - listedUs > LIST_US) {
             listedUs = now
             return CloudCall.ListAll
@@ -220,7 +214,7 @@
     }
 
     private fun rent(now: Long): Hire? {
-        for (build in wanted.map { it.build }.distinct()) {
+        for (build in flavors.keys) {
             val flavor = flavors[build] ?: continue
             val have = machines.values.filter { it.build == build && !it.giveBack }
             val short = need(build, now) - have.size
@@ -230,9 +224,9 @@
             }
             // Jobs that may not run on cheap machines need dear ones; all others come after what is cheap.
             val onlyOrdinary = ceil(wanted.filter { it.build == build && !it.spot }.sumOf { it.machines } - 1e-9).toInt()
-            val ordinaryFirst = policy.speedFirst || have.count { !it.spot } < onlyOrdinary || wanted.none { it.build == build && it.spot }
+            val ordinaryFirst = have.count { !it.spot } < onlyOrdinary || build !in spotWelcome
             for (spot in if (ordinaryFirst) listOf(false, true) else listOf(true, false)) {
-                if (spot && wanted.none { it.build == build && it.spot }) continue
+                if (spot && build !in spotWelcome) continue
                 hireIn(flavor, have, spot, short, now)?.let { return it }
             }
         }
@@ -260,8 +254,8 @@
         have: List<Rented>,
         now: Long,
     ): Hire? {
-        if (policy.speedFirst || flavor.spotPrice >= flavor.price || now - swappedUs < SWAP_US) return null
-        if (have.none { !it.spot && !it.draining } || wanted.none { it.build == flavor.name && it.spot }) return null
+        if (flavor.spotPrice >= flavor.price || now - swappedUs < SWAP_US) return null
+        if (have.none { !it.spot && !it.draining } || flavor.name !in spotWelcome) return null
         val zone =
             flavor.zones.firstOrNull { (refusedUntilUs[place(flavor.name, it, true)] ?: Long.MIN_VALUE) <= now } ?: return null
         swappedUs = now
@@ -317,10 +311,12 @@
 
     private companion object {
         const val MOST_SILENT = 2
+        const val SILENT_SHARE = 100
         const val LEAST_US = 55 * SECOND
         const val SWAP_US = 10 * SECOND
         const val LIST_US = 4 * SECOND
         const val MOST_RETURNS = 100
+        const val RETURN_US = SECOND
         const val MOST_HIRED = 50
     }
 }
--- a/src/main/kotlin/lichenstage/jobs/JobSpec.kt
+++ b/src/main/kotlin/lichenstage/jobs/JobSpec.kt
@@ -31,7 +31,7 @@
     /** Time of day of the submission, in microseconds. */
     val submittedUs: Long,
 ) {
-    val facts get() = JobFacts(shape, image)
+    val facts get() = JobFacts(shape, image, imageGb)
 }
 
 /** The record of a job in the state service. */
--- a/src/main/kotlin/lichenstage/jobs/JobsActor.kt
+++ b/src/main/kotlin/lichenstage/jobs/JobsActor.kt
@@ -2,6 +2,7 @@
 
 import io.vertx.core.json.JsonObject
 import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeoutOrNull
 import lichenstage.app.Mailbox
@@ -44,6 +45,7 @@
  */
 class JobsActor(
     private val state: StateClient,
+    txnOps: Int,
     private val catalog: Catalog,
     private val teams: Map<String, Team>,
     private val stateAnswers: () -> Boolean,
@@ -54,10 +56,29 @@
         object : LinkedHashMap<String, JsonObject>(64, 0.75f, true) {
             override fun removeEldestEntry(eldest: MutableMap.MutableEntry<String, JsonObject>) = size > REMEMBERED
         }
+
+    /** Revisions of open records: with them one request asks for many jobs. */
+    private val stamps =
+        object : LinkedHashMap<String, Long>(64, 0.75f, true) {
+            override fun removeEldestEntry(eldest: MutableMap.MutableEntry<String, Long>) = size > REMEMBERED_OPEN
+        }
+    private val openCheck = OpenCheck(state, txnOps * GUARDS_A_CHANGE, scope)
     private var counts = Counts(0, emptyMap())
     private var open = 0
     private val mailbox = Mailbox<JobsMessage>("jobs", scope, ::handle)
 
+    /** After a start in the middle of a busy day all users ask at once: the open records are learned beforehand. */
+    fun start() {
+        scope.launch {
+            while (true) {
+                val scan = state.scan(JobRecord.OPEN)
+                scan?.entries?.forEach { stamps[it.key.removePrefix(JobRecord.OPEN)] = it.stamp }
+                if (scan != null) break
+                delay(START_RETRY_MS)
+            }
+        }
+    }
+
     fun tell(message: JobsMessage) = mailbox.tell(message)
 
     private fun handle(message: JobsMessage) {
@@ -129,9 +150,18 @@
         val outcome =
             state.txn(mapOf(open to 0L, over to 0L), listOf(Change.Put(open, JobRecord.encode(spec))), SUBMIT_TIMEOUT_MS)
         return when (outcome) {
-            is Committed.Yes -> Reply(201, JsonObject().put("uid", spec.id).put("status", "pending"))
-            Committed.Refused -> known(spec.id) { later("undecided", 1) }
-            Committed.NoLease, Committed.Unknown -> later("the state service can't be asked", 1)
+            is Committed.Yes -> {
+                stamps[spec.id] = outcome.revision
+                Reply(201, JsonObject().put("uid", spec.id).put("status", "pending"))
+            }
+
+            is Committed.Refused -> {
+                known(spec.id) { later("undecided", 1) }
+            }
+
+            Committed.NoLease, Committed.Unknown -> {
+                later("the state service can't be asked", 1)
+            }
         }
     }
 
@@ -160,10 +190,27 @@
      */
     private suspend fun find(id: String): Reply {
         finished[id]?.let { return described(id, it) }
-        when (state.get(JobRecord.OPEN + id, READ_TIMEOUT_MS)) {
-            is Read.Found -> return running(id)
-            Read.Unavailable -> return later("the state service can't be asked", 1)
-            Read.Missing -> Unit
+        val stamp = stamps[id]
+        if (stamp != null) {
+            when (openCheck.ask(JobRecord.OPEN + id, stamp)) {
+                Openness.OPEN -> return running(id)
+                Openness.UNKNOWN -> return later("the state service can't be asked", 1)
+                Openness.GONE -> stamps.remove(id)
+            }
+        }
+        when (val open = state.get(JobRecord.OPEN + id, READ_TIMEOUT_MS)) {
+            is Read.Found -> {
+                stamps[id] = open.entry.stamp
+                return running(id)
+            }
+
+            Read.Unavailable -> {
+                return later("the state service can't be asked", 1)
+            }
+
+            Read.Missing -> {
+                Unit
+            }
         }
         return when (val over = state.get(JobRecord.FINISHED + id, READ_TIMEOUT_MS)) {
             is Read.Found -> {
@@ -225,7 +272,7 @@
                     return described(id, record)
                 }
 
-                Committed.Refused -> {
+                is Committed.Refused -> {
                     Unit
                 }
 
@@ -250,6 +297,9 @@
 
     private companion object {
         const val REMEMBERED = 4000
+        const val REMEMBERED_OPEN = 20_000
+        const val GUARDS_A_CHANGE = 4
+        const val START_RETRY_MS = 1000L
         const val MOST_OPEN = 300
         const val SHORT_TRY_MS = 800L
         const val READ_TIMEOUT_MS = 1400L
--- /dev/null
+++ b/src/main/kotlin/lichenstage/jobs/OpenCheck.kt
@@ -0,0 +1,88 @@
+package lichenstage.jobs
+
+import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import lichenstage.state.Committed
+import lichenstage.state.StateClient
+
+/** What the state service says of an open record that was seen before. It never changes but for its end. */
+enum class Openness { OPEN, GONE, UNKNOWN }
+
+/**
+ * Asks the state service for many jobs at once whether they are still open: a transaction that only compares.
+ *
+ * Guards against `forgotten`: thousands of jobs are polled within seconds, and one request for each would be far above what the
+ * state service takes.
+ */
+class OpenCheck(
+    private val state: StateClient,
+    private val most: Int,
+    private val scope: CoroutineScope,
+) {
+    private class Question(
+        val key: String,
+        val stamp: Long,
+        val answer: CompletableDeferred<Openness>,
+    )
+
+    private val waiting = ArrayDeque<Question>()
+    private var running = false
+
+    /** Whether the record at [key] is still the one of revision [stamp]. Unknown at once where too many wait already. */
+    suspend fun ask(
+        key: String,
+        stamp: Long,
+    ): Openness {
+        if (waiting.size >= MOST_WAITING) return Openness.UNKNOWN
+        val question = Question(key, stamp, CompletableDeferred())
+        waiting += question
+        if (!running) {
+            running = true
+            scope.launch {
+                // A short wait gathers what comes together.
+                delay(GATHER_MS)
+                while (waiting.isNotEmpty()) answer(next())
+                running = false
+            }
+        }
+        return question.answer.await()
+    }
+
+    private fun next() = List(minOf(most, waiting.size)) { waiting.removeFirst() }
+
+    /** Those that are named as failed are gone; whether the others hold is asked again, since all need not be named. */
+    private suspend fun answer(questions: List<Question>) {
+        var open = questions
+        repeat(MOST_TRIES) {
+            if (open.isEmpty()) return
+            when (val outcome = state.txn(open.associate { it.key to it.stamp }, emptyList(), TIMEOUT_MS)) {
+                is Committed.Yes -> {
+                    open.forEach { it.answer.complete(Openness.OPEN) }
+                    return
+                }
+
+                is Committed.Refused -> {
+                    val failed = outcome.failed.toHashSet()
+                    val (gone, rest) = open.partition { it.key in failed }
+                    gone.forEach { it.answer.complete(Openness.GONE) }
+                    open = rest
+                }
+
+                Committed.NoLease, Committed.Unknown -> {
+                    open.forEach { it.answer.complete(Openness.UNKNOWN) }
+                    return
+                }
+            }
+        }
+        open.forEach { it.answer.complete(Openness.UNKNOWN) }
+    }
+
+    private companion object {
+        const val GATHER_MS = 40L
+        const val TIMEOUT_MS = 1200L
+        const val MOST_TRIES = 3
+        const val MOST_WAITING = 1000
+    }
+}
--- a/src/main/kotlin/lichenstage/part/Machine.kt
+++ b/src/main/kotlin/lichenstage/part/Machine.kt
@@ -1,33 +1,54 @@
 package lichenstage.part
 
+import it.unimi.dsi.fastutil.longs.Long2ObjectLinkedOpenHashMap
 import lichenstage.app.SECOND
+import lichenstage.cluster.JobFacts
 import lichenstage.cluster.Shape
 import lichenstage.cluster.TaskPhase
 import lichenstage.cluster.TaskView
 
-/** One try of one task on a machine, from the leader's order until it has been cleared. */
+/** One try of one task on a machine, from the leader's order until it has been cleared. Its number is unique (invariant 7). */
 class Attempt(
     val task: String,
     val number: Long,
 ) {
+    val job = task.substringBefore('/')
     var phase = TaskPhase.PENDING
     var cause: String? = null
     var stopWanted = false
     var clearWanted = false
 
+    /** The report that listed it last. */
+    var listedIn = -1L
+
     /** Direct orders with this start that have not been answered yet. */
     var inFlight = 0
 
-    /** A direct order with this start got no answer: a copy may still land, so the attempt is never cleared (invariant 6). */
+    /** A direct order with this start got no answer: a copy may still land. */
     var unclear = false
 
     /** When a report answer last carried this start; workers drop answers after 4 s. */
     var answeredUs = Long.MIN_VALUE / 2
 
+    /** When this start was last sent in any way. */
+    var sentUs = Long.MIN_VALUE / 2
+
     val present get() = phase != TaskPhase.PENDING
 
-    /** No copy of the start can still be under way. */
-    fun settled(now: Long) = inFlight == 0 && !unclear && now - answeredUs > ANSWER_LIFE_US
+    private fun underWay(now: Long) = inFlight > 0 || now - answeredUs <= ANSWER_LIFE_US
+
+    /** No copy of the start can still be under way, so that one that isn't listed never happened. */
+    fun settled(now: Long) = !unclear && !underWay(now)
+
+    /**
+     * Whether the worker may forget this attempt (invariant 6). A repeat of an order that was carried out can come late, and
+     * would start it again: one that is done only exits once more, any other would run while its task is elsewhere. Those
+     * are kept until no repeat can be under way any more.
+     */
+    fun clearable(
+        now: Long,
+        repeatsUs: Long,
+    ) = !underWay(now) && (cause == "done" || now - sentUs > repeatsUs)
 
     fun view() = TaskView(task, number, phase, cause)
 
@@ -63,43 +84,116 @@
     var silent = false
     var lost = false
 
+    /** An order got no answer since it last heeded one: hearing it does not prove that it hears us, so its room is not offered. */
+    var deaf = false
+
     /** Of the part's versions, the one that last changed what the leader sees. */
     var version = 0L
-    val attempts = LinkedHashMap<Pair<String, Long>, Attempt>()
+    val attempts = Long2ObjectLinkedOpenHashMap<Attempt>()
     var ordersInFlight = false
 
     /** After an order without an answer the report answers are the path, until a report has come. */
     var ordersBlocked = false
 
-    /** Images that were used here, the latest last: most likely still in the machine's cache. */
-    private val images = LinkedHashSet<String>()
+    private val images = Images()
+    private val holds = Holds()
+    private var used: Shape? = null
+    private var usedValid = false
 
-    fun uses(image: String) {
-        images.remove(image)
-        images.add(image)
-        if (images.size > REMEMBERED_IMAGES) images.remove(images.first())
-    }
+    fun uses(facts: JobFacts) = images.use(facts.image, facts.imageGb)
 
     fun warm(image: String) = image in images
 
+    fun changed() {
+        usedValid = false
+    }
+
+    fun hold(
+        shape: Shape,
+        count: Int,
+    ) = holds.add(shape, count)
+
     /** A new session begins with an empty machine; its cache may be empty too. */
-    fun forgetImages() = images.clear()
+    fun begin(newSession: Long) {
+        session = newSession
+        attempts.clear()
+        images.clear()
+        changed()
+    }
+
+    /** How many more tasks of [shape] it takes; none where something on it is of unknown size. */
+    fun room(
+        shape: Shape,
+        capacity: Shape,
+        factsOf: (String) -> JobFacts?,
+    ): Int {
+        if (!usedValid) {
+            used = count(factsOf)
+            // What is of unknown size may become known without a word of this machine.
+            usedValid = used != null
+        }
+        val taken = used ?: return 0
+        return (capacity - taken - holds.total).fits(shape)
+    }
 
-    fun used(shapeOf: (String) -> Shape?): Shape? {
+    private fun count(factsOf: (String) -> JobFacts?): Shape? {
         var cores = 0.0
         var cards = 0.0
         var mem = 0.0
         for (attempt in attempts.values) {
             if (attempt.phase == TaskPhase.ENDED) continue
-            val shape = shapeOf(attempt.task) ?: return null
+            val shape = factsOf(attempt.job)?.shape ?: return null
             cores += shape.cores
             cards += shape.cards
             mem += shape.memGb
         }
         return Shape(cores, cards, mem)
     }
+}
+
+/** Room of a machine that is held for requests. */
+private class Holds {
+    private var count = 0
+    var total = NONE
+        private set
+
+    fun add(
+        shape: Shape,
+        tasks: Int,
+    ) {
+        count += tasks
+        // Back to nothing exactly: the rounding of many shares must not add up.
+        total = if (count == 0) NONE else total - shape * -tasks
+    }
+
+    private companion object {
+        val NONE = Shape(0.0, 0.0, 0.0)
+    }
+}
+
+/** Images that were used on a machine, the latest last: most likely still in its cache. */
+private class Images {
+    private val sizes = LinkedHashMap<String, Double>()
+    private var total = 0.0
+
+    operator fun contains(image: String) = sizes.containsKey(image)
+
+    fun use(
+        image: String,
+        gb: Double,
+    ) {
+        total += gb - (sizes.remove(image) ?: 0.0)
+        sizes[image] = gb
+        while (total > CACHE_GB && sizes.size > 1) total -= sizes.remove(sizes.keys.first())!!
+    }
+
+    fun clear() {
+        sizes.clear()
+        total = 0.0
+    }
 
     private companion object {
-        const val REMEMBERED_IMAGES = 6
+        /** What a machine of any type keeps at the least. */
+        const val CACHE_GB = 40.0
     }
 }
--- a/src/main/kotlin/lichenstage/part/PartActor.kt
+++ b/src/main/kotlin/lichenstage/part/PartActor.kt
@@ -37,14 +37,14 @@
     ) : PartMessage
 
     data class Ordered(
-        val zone: String,
+        val part: String,
         val term: Long,
         val order: DirectOrder,
         val outcome: OrderOutcome,
     ) : PartMessage
 
     data class Probed(
-        val zone: String,
+        val part: String,
         val term: Long,
         val probe: Probe,
         val report: Report?,
@@ -64,6 +64,7 @@
     private val toLeader: (PartFrame) -> Unit,
 ) {
     private val log = LoggerFactory.getLogger("lichenstage.part")
+    private val parting = settings.parting
     private val parts = HashMap<String, PartCore>()
     private val mailbox = Mailbox<PartMessage>("part", scope, ::handle)
 
@@ -82,33 +83,72 @@
 
     private fun handle(message: PartMessage) {
         val now = clock.now()
-        refresh(now)
         when (message) {
-            is PartMessage.Beat -> beat(message, now)
-            is PartMessage.FromLeader -> parts[message.frame.zone]?.leader(message.frame, now)
-            is PartMessage.Ordered -> parts[message.zone]?.takeIf { it.term == message.term }?.ordered(message.order, message.outcome, now)
-            is PartMessage.Probed -> parts[message.zone]?.takeIf { it.term == message.term }?.probed(message.probe, message.report, now)
-            PartMessage.Tick -> parts.values.forEach { it.tick(now) }
-        }
-        for (part in parts.values) {
-            // Nothing is ordered or offered without authority; what is due then goes out when it is back.
-            if (authority.owning(part.zone)?.term != part.term) continue
-            part.directOrders(now).forEach { send(part, it) }
-            part.probes(now).forEach { probe(part, it) }
-            part.frame(now)?.let(toLeader)
+            is PartMessage.Beat -> {
+                beat(message, now)
+            }
+
+            is PartMessage.FromLeader -> {
+                refresh(now)
+                parts[message.frame.part]?.let {
+                    it.leader(message.frame, now)
+                    pump(it, now)
+                }
+            }
+
+            is PartMessage.Ordered -> {
+                current(message.part, message.term)?.let {
+                    it.ordered(message.order, message.outcome, now)
+                    pump(it, now)
+                }
+            }
+
+            is PartMessage.Probed -> {
+                current(message.part, message.term)?.let {
+                    it.probed(message.probe, message.report, now)
+                    pump(it, now)
+                }
+            }
+
+            PartMessage.Tick -> {
+                refresh(now)
+                for (part in parts.values) {
+                    part.tick(now)
+                    if (!entitled(part)) continue
+                    part.probes(now).forEach { probe(part, it) }
+                    pump(part, now)
+                }
+            }
         }
     }
 
+    private fun current(
+        part: String,
+        term: Long,
+    ) = parts[part]?.takeIf { it.term == term }
+
+    private fun entitled(part: PartCore) = authority.owning(part.id)?.term == part.term
+
+    /** Nothing is ordered or offered without authority; what is due then goes out when it is back. */
+    private fun pump(
+        part: PartCore,
+        now: Long,
+    ) {
+        if (!entitled(part)) return
+        part.directOrders(now).forEach { send(part, it) }
+        part.frame(now)?.let(toLeader)
+    }
+
     /** Follows the ownership of keys. A part whose authority only pauses keeps what it knows. */
     private fun refresh(now: Long) {
-        for (zone in settings.zones) {
-            val owner = authority.owner(zone)
-            val part = parts[zone]
-            if (part != null && owner != null && owner.term > part.term) parts.remove(zone)
-            val mine = authority.owning(zone) ?: continue
-            if (parts[zone]?.term != mine.term) {
-                parts[zone] = PartCore(zone, mine.term, settings.workerLeaseUs, settings.reportUs, now, buildOf)
-                log.info("owning {} under term {}", zone, mine.term)
+        for (id in parting.parts) {
+            val owner = authority.owner(id)
+            val part = parts[id]
+            if (part != null && owner != null && owner.term > part.term) parts.remove(id)
+            val mine = authority.owning(id) ?: continue
+            if (parts[id]?.term != mine.term) {
+                parts[id] = PartCore(id, parting.zone(id)!!, mine.term, settings.workerLeaseUs, settings.reportUs, now, buildOf = buildOf)
+                log.info("owning {} under term {}", id, mine.term)
             }
         }
     }
@@ -118,19 +158,23 @@
         now: Long,
     ) {
         val report = message.report
-        val part = parts[report.zone]
-        val entitled = part != null && authority.owning(report.zone)?.term == part.term
-        val answer =
-            if (entitled) {
-                when (val outcome = part!!.report(report, now)) {
-                    is ReportAnswer.Accepted -> WorkerAnswer.Take(outcome.token, outcome.commands)
-                    ReportAnswer.Superseded -> WorkerAnswer.NotNow
-                }
-            } else {
-                val owner = authority.owner(report.zone)?.label
-                if (owner != null && owner != settings.label) WorkerAnswer.GoTo(owner) else WorkerAnswer.NotNow
+        val id = parting.partOf(report.machine, report.zone)
+        if (id == null) {
+            message.answer(WorkerAnswer.NotNow)
+            return
+        }
+        if (parts[id] == null) refresh(now)
+        val part = parts[id]
+        if (part != null && entitled(part)) {
+            when (val outcome = part.report(report, now)) {
+                is ReportAnswer.Accepted -> message.answer(WorkerAnswer.Take(outcome.token, outcome.commands))
+                ReportAnswer.Superseded -> message.answer(WorkerAnswer.NotNow)
             }
-        message.answer(answer)
+            pump(part, now)
+        } else {
+            val owner = authority.owner(id)?.label
+            message.answer(if (owner != null && owner != settings.label) WorkerAnswer.GoTo(owner) else WorkerAnswer.NotNow)
+        }
     }
 
     private fun send(
@@ -139,7 +183,7 @@
     ) {
         scope.launch {
             val outcome = workers.send(order, part.term)
-            mailbox.tell(PartMessage.Ordered(part.zone, part.term, order, outcome))
+            mailbox.tell(PartMessage.Ordered(part.id, part.term, order, outcome))
         }
     }
 
@@ -147,7 +191,7 @@
         part: PartCore,
         probe: Probe,
     ) {
-        scope.launch { mailbox.tell(PartMessage.Probed(part.zone, part.term, probe, workers.probe(probe, part.term))) }
+        scope.launch { mailbox.tell(PartMessage.Probed(part.id, part.term, probe, workers.probe(probe, part.term))) }
     }
 
     private companion object {
--- a/src/main/kotlin/lichenstage/part/PartCore.kt
+++ b/src/main/kotlin/lichenstage/part/PartCore.kt
@@ -4,6 +4,7 @@
 import lichenstage.app.SECOND
 import lichenstage.app.withDrift
 import lichenstage.cluster.Ask
+import lichenstage.cluster.AttemptOrder
 import lichenstage.cluster.Held
 import lichenstage.cluster.JobFacts
 import lichenstage.cluster.LeaderFrame
@@ -41,10 +42,11 @@
     val commands: List<Command>,
 )
 
-/** Asks a machine to show the token. */
+/** Asks a machine to show the token. [session]: the one it is known by, or 0. */
 data class Probe(
     val machine: String,
     val address: String,
+    val session: Long = 0,
 )
 
 /** What became of a direct order. */
@@ -62,16 +64,19 @@
 }
 
 /**
- * A part: the machines of one zone under one ownership term, which is the token of its machines.
+ * A part: machines of one zone under one ownership term, which is the token of its machines.
  *
- * Plain code: reports, leader frames and order outcomes come in with the time, answers and effects go out.
+ * Plain code: reports, leader frames and order outcomes come in with the time, answers and effects go out. A report or a frame
+ * costs by what it changes, never by how many machines there are: what has changed and what has orders due is kept apart.
  */
 class PartCore(
-    val zone: String,
+    val id: String,
+    private val zone: String,
     val term: Long,
     private val leaseUs: Long,
     private val reportUs: Long,
     private val acquiredUs: Long,
+    private val repeatsUs: Long = leaseUs * REPEATS_LEASES,
     private val buildOf: (String) -> Build?,
 ) {
     private class Hold(
@@ -80,10 +85,21 @@
         val counts: MutableMap<String, Int>,
     )
 
-    private val machines = LinkedHashMap<String, Machine>()
-    private val facts = HashMap<String, JobFacts>()
+    private val machines = HashMap<String, Machine>()
+    private val facts =
+        object : LinkedHashMap<String, JobFacts>(64, 0.75f, true) {
+            override fun removeEldestEntry(eldest: MutableMap.MutableEntry<String, JobFacts>) = size > REMEMBERED_JOBS
+        }
+    private val factsOf: (String) -> JobFacts? = { facts[it] }
     private val holds = Long2ObjectHashMap<Hold>()
     private val offers = ArrayList<Offer>()
+
+    /** What the leader has not acknowledged, in the order of the changes. */
+    private val unacked = LinkedHashSet<Machine>()
+    private val ordersDue = LinkedHashSet<Machine>()
+
+    /** Machines with attempts that are not wanted and may never have landed. */
+    private val unwanted = HashSet<Machine>()
     private var closed: Set<String> = emptySet()
     private val addresses = HashMap<String, String>()
     private val probedUs = HashMap<String, Long>()
@@ -92,6 +108,9 @@
     private var acked = 0L
     private var leaderTerm = 0L
     private var seq = 0L
+
+    /** The leader's frame up to which all that it changed has been told. */
+    private var toldSeq = 0L
     private var dirty = true
     private var sentUs = Long.MIN_VALUE / 2
 
@@ -104,19 +123,22 @@
     ): ReportAnswer {
         if (report.token > term) return ReportAnswer.Superseded
         val machine = machines.getOrPut(report.machine) { newMachine(report, now) }
-        addresses[report.machine] = report.address
-        ingest(machine, report, now)
-        machine.ordersBlocked = false
-        machine.answeredUs = now
-        val commands =
-            if (machine.settled && report.session == machine.session &&
-                !machine.lost
-            ) {
-                commands(machine, now).take(MAX_COMMANDS)
-            } else {
-                emptyList()
+        if (ingest(machine, report, now)) {
+            addresses[report.machine] = report.address
+            machine.ordersBlocked = false
+            if (machine.attempts.isNotEmpty()) ordersDue += machine
+        }
+        // Even where it is no news: an answer to an order may have overtaken it, and the worker counts its lease from it.
+        if (report.session == machine.session) machine.answeredUs = now
+        val heeded = machine.settled && report.session == machine.session && !machine.lost
+        val commands = if (heeded) commands(machine, now).take(MAX_COMMANDS) else emptyList()
+        for (command in commands) {
+            if (command !is Command.Start) continue
+            machine.attempts.get(command.attempt)?.let {
+                it.answeredUs = now
+                it.sentUs = now
             }
-        commands.forEach { if (it is Command.Start) machine.attempts[it.task to it.attempt]?.answeredUs = now }
+        }
         return ReportAnswer.Accepted(term, commands)
     }
 
@@ -128,37 +150,38 @@
         touch(it)
     }
 
+    /** False where the report is no news: an older one, or a late copy, of which nothing is believed. */
     private fun ingest(
         machine: Machine,
         report: Report,
         now: Long,
-    ) {
-        if (report.session < machine.session) return
-        if (report.session == machine.session && report.sequence <= machine.sequence) return
+    ): Boolean {
+        if (report.session < machine.session) return false
+        if (report.session == machine.session && report.sequence <= machine.sequence) return false
         // A report of a session that has run out is a late one: what it lists is gone.
-        if (report.session == machine.session && machine.lost) return
+        if (report.session == machine.session && machine.lost) return false
         machine.heardUs = now
         val changedSession = report.session > machine.session
         if (changedSession) {
             // The worker has killed and forgotten all tasks of the earlier session; orders with it are refused.
-            machine.session = report.session
+            machine.begin(report.session)
             machine.sessionSeenUs = now
-            machine.attempts.clear()
-            machine.forgetImages()
+            // Its lease ran out although it was answered, so it may not hear us: it has to heed an order first.
+            machine.deaf = true
         }
         machine.sequence = report.sequence
-        val wasSettled = machine.settled
-        val wasLost = machine.lost
+        var changed = changedSession || machine.lost || machine.address != report.address
         machine.lost = false
-        var changed = changedSession || wasLost || machine.address != report.address
         machine.address = report.address
         if ((machine.recallUs == null) != (report.recallUs == null)) changed = true
         machine.recallUs = report.recallUs
         if (report.token == term) {
+            if (!machine.settled) changed = true
             machine.settled = true
-            changed = settle(machine, report) || changed || !wasSettled
+            if (settle(machine, report)) changed = true
         }
         if (changed) touch(machine)
+        return true
     }
 
     /** Takes over the task list of a worker that has shown this owner's token. */
@@ -167,35 +190,32 @@
         report: Report,
     ): Boolean {
         var changed = false
-        val listed = HashSet<Pair<String, Long>>()
         for (row in report.tasks) {
-            val key = row.task to row.attempt
-            listed += key
-            val attempt =
-                machine.attempts.getOrPut(key) {
-                    changed = true
-                    facts[jobOf(row.task)]?.let { machine.uses(it.image) }
-                    Attempt(row.task, row.attempt)
-                }
+            var attempt = machine.attempts.get(row.attempt)
+            if (attempt == null) {
+                attempt = Attempt(row.task, row.attempt)
+                machine.attempts.put(row.attempt, attempt)
+                facts[attempt.job]?.let { machine.uses(it) }
+                changed = true
+            }
+            attempt.listedIn = report.sequence
             if (attempt.phase != row.phase || attempt.cause != row.cause) {
+                // It took up a start: so it hears us.
+                if (!attempt.present) machine.deaf = false
                 attempt.phase = row.phase
                 attempt.cause = row.cause
                 changed = true
             }
         }
-        val iterator = machine.attempts.values.iterator()
-        while (iterator.hasNext()) {
-            val attempt = iterator.next()
-            if (attempt.present && (attempt.task to attempt.number) !in listed) {
-                iterator.remove()
-                changed = true
-            }
-        }
+        if (machine.attempts.values.removeIf { it.present && it.listedIn != report.sequence }) changed = true
+        if (changed) machine.changed()
         return changed
     }
 
     private fun touch(machine: Machine) {
         machine.version = ++version
+        unacked.remove(machine)
+        unacked.add(machine)
         dirty = true
     }
 
@@ -204,6 +224,7 @@
         machine: Machine,
         now: Long,
     ): List<Command> {
+        if (machine.attempts.isEmpty()) return emptyList()
         val commands = ArrayList<Command>()
         for (attempt in machine.attempts.values) {
             when {
@@ -212,7 +233,7 @@
                 }
 
                 attempt.phase == TaskPhase.ENDED -> {
-                    if (attempt.clearWanted && attempt.settled(now)) commands += Command.Clear(attempt.task, attempt.number)
+                    if (attempt.clearWanted && attempt.clearable(now, repeatsUs)) commands += Command.Clear(attempt.task, attempt.number)
                 }
 
                 attempt.stopWanted -> {
@@ -225,37 +246,47 @@
 
     /** Direct orders for what shouldn't wait for a report: one at a time for each machine. */
     fun directOrders(now: Long): List<DirectOrder> {
+        if (ordersDue.isEmpty()) return emptyList()
         val orders = ArrayList<DirectOrder>()
-        for (machine in machines.values) {
-            if (!machine.settled || machine.lost || machine.ordersInFlight || machine.ordersBlocked) continue
+        for (machine in ordersDue) {
+            if (!machine.settled || machine.lost || machine.deaf || machine.ordersInFlight || machine.ordersBlocked) continue
             val urgent =
                 machine.attempts.values.any {
-                    (it.phase == TaskPhase.PENDING && !it.stopWanted) ||
-                        (it.stopWanted && it.present && it.phase != TaskPhase.ENDED)
+                    if (it.present) it.stopWanted && it.phase != TaskPhase.ENDED else !it.stopWanted
                 }
             if (!urgent) continue
             val commands = commands(machine, now).take(MAX_COMMANDS)
-            commands.forEach { if (it is Command.Start) machine.attempts[it.task to it.attempt]!!.inFlight++ }
+            for (command in commands) {
+                if (command !is Command.Start) continue
+                machine.attempts.get(command.attempt).let {
+                    it.inFlight++
+                    it.sentUs = now
+                }
+            }
             machine.ordersInFlight = true
             orders += DirectOrder(machine.name, machine.address, machine.session, commands)
         }
+        ordersDue.clear()
         return orders
     }
 
     /**
-     * Machines to be asked at once whether they know this owner's token. A new owner need not wait until each worker has
-     * found it: the answer to an empty order is a report that settles the machine (invariant 3). It renews no lease.
+     * Machines to be asked at once whether they know this owner's token, or whether they hear us. A new owner need not wait
+     * until each worker has found it: the answer to an empty order is a report that settles the machine (invariant 3). It
+     * renews no lease. Only some at a time: after a takeover hundreds would be due.
      */
     fun probes(now: Long): List<Probe> {
-        val due =
-            addresses.filterKeys {
-                it !in probing && machines[it]?.settled != true && now - (probedUs[it] ?: Long.MIN_VALUE / 2) > PROBE_US
-            }
-        return due.map { (name, address) ->
+        val due = ArrayList<Probe>()
+        for ((name, address) in addresses) {
+            if (probing.size >= MOST_PROBES) break
+            val machine = machines[name]
+            if (machine != null && machine.settled && !machine.deaf) continue
+            if (name in probing || now - (probedUs[name] ?: Long.MIN_VALUE / 2) <= PROBE_US) continue
             probing += name
             probedUs[name] = now
-            Probe(name, address)
+            due += Probe(name, machine?.address ?: address, machine?.session ?: 0)
         }
+        return due
     }
 
     /** What a probe brought: the worker's report, or nothing. */
@@ -267,9 +298,20 @@
         probing -= probe.machine
         if (report == null || report.machine != probe.machine || report.zone != zone || report.token > term) return
         val machine = machines.getOrPut(report.machine) { newMachine(report, now) }
+        heard(machine)
         ingest(machine, report, now)
     }
 
+    /** The machine answered an order. */
+    private fun heard(machine: Machine) {
+        machine.ordersBlocked = false
+        if (machine.attempts.isNotEmpty()) ordersDue += machine
+        if (machine.deaf) {
+            machine.deaf = false
+            touch(machine)
+        }
+    }
+
     /** What became of [order]. */
     fun ordered(
         order: DirectOrder,
@@ -281,19 +323,24 @@
         if (machine.session == order.session) {
             for (command in order.commands) {
                 if (command !is Command.Start) continue
-                val attempt = machine.attempts[command.task to command.attempt] ?: continue
+                val attempt = machine.attempts.get(command.attempt) ?: continue
                 attempt.inFlight--
                 if (outcome is OrderOutcome.Unclear) attempt.unclear = true
             }
         }
         when (outcome) {
             is OrderOutcome.Answered -> {
+                heard(machine)
                 if (outcome.report != null && outcome.report.machine == machine.name) ingest(machine, outcome.report, now)
                 if (!outcome.executed) machine.ordersBlocked = true
             }
 
             OrderOutcome.NotSent, OrderOutcome.Unclear -> {
                 machine.ordersBlocked = true
+                if (!machine.deaf) {
+                    machine.deaf = true
+                    touch(machine)
+                }
             }
         }
         dropUnsent(machine, now)
@@ -304,8 +351,12 @@
         machine: Machine,
         now: Long,
     ) {
-        val dropped = machine.attempts.values.removeIf { !it.present && it.stopWanted && it.settled(now) }
-        if (dropped) touch(machine)
+        if (machine !in unwanted) return
+        if (machine.attempts.values.removeIf { !it.present && it.stopWanted && it.settled(now) }) {
+            machine.changed()
+            touch(machine)
+        }
+        if (machine.attempts.values.none { !it.present && it.stopWanted }) unwanted -= machine
     }
 
     /** A frame of the leader; one that is older than the newest seen is not obeyed (invariant 8). */
@@ -314,63 +365,93 @@
         now: Long,
     ) {
         if (frame.term < leaderTerm) return
-        if (frame.term > leaderTerm) {
-            facts.clear()
-            leaderTerm = frame.term
-            seq = 0
-            acked = 0
-            holds.clear()
-            offers.clear()
-            dirty = true
-        }
+        if (frame.term > leaderTerm) begin(frame.term)
         if (frame.seq <= seq) return
         seq = frame.seq
         facts.putAll(frame.facts)
         addresses += frame.addresses
-        closed = frame.closed
-        if (frame.ackTerm == term) acked = maxOf(acked, frame.ackVersion)
+        frame.closed?.let { closed = it }
+        if (frame.ackTerm == term) acknowledged(frame.ackVersion)
         lapse(now)
-        frame.releases.forEach { holds.remove(it) }
+        frame.releases.forEach(::release)
         for (order in frame.starts) start(order)
         // What is left of a hold after its starts was not chosen.
-        frame.starts.forEach { holds.remove(it.stamp) }
-        for (order in frame.stops) mark(order.machine, order.task, order.attempt, now) { it.stopWanted = true }
-        for (order in frame.clears) mark(order.machine, order.task, order.attempt, now) { it.clearWanted = true }
+        frame.starts.forEach { release(it.stamp) }
+        for (order in frame.stops) mark(order, now) { it.stopWanted = true }
+        for (order in frame.clears) mark(order, now) { it.clearWanted = true }
         frame.asks.sortedBy { it.stamp }.forEach { offers += grant(it, now) }
         if (frame.asks.isNotEmpty() || frame.starts.isNotEmpty() || frame.stops.isNotEmpty()) dirty = true
     }
 
+    /** A new leader knows nothing yet: it is told everything. */
+    private fun begin(newLeaderTerm: Long) {
+        facts.clear()
+        leaderTerm = newLeaderTerm
+        seq = 0
+        toldSeq = 0
+        acked = 0
+        holds.keys.toList().forEach(::release)
+        offers.clear()
+        closed = emptySet()
+        unacked.clear()
+        unacked += machines.values.sortedBy { it.version }
+        machines.values.forEach { it.changed() }
+        dirty = true
+    }
+
+    private fun acknowledged(upTo: Long) {
+        acked = maxOf(acked, upTo)
+        val iterator = unacked.iterator()
+        while (iterator.hasNext() && iterator.next().version <= acked) iterator.remove()
+    }
+
     private fun mark(
-        machine: String,
-        task: String,
-        number: Long,
+        order: AttemptOrder,
         now: Long,
         change: (Attempt) -> Unit,
     ) {
-        val known = machines[machine] ?: return
-        change(known.attempts[task to number] ?: return)
-        dropUnsent(known, now)
+        val machine = machines[order.machine] ?: return
+        val attempt = machine.attempts.get(order.attempt) ?: return
+        change(attempt)
+        ordersDue += machine
+        if (!attempt.present && attempt.stopWanted) unwanted += machine
+        dropUnsent(machine, now)
         dirty = true
     }
 
     /** A start on a lapsed or unknown hold is refused: the machine's list, told again, shows the leader that it isn't there. */
     private fun start(order: StartOrder) {
         val machine = machines[order.machine] ?: return
-        val hold = holds[order.stamp]
+        val hold = holds.get(order.stamp)
         val left = hold?.counts?.get(order.machine) ?: 0
         if (hold != null && left > 0 && usable(machine)) {
             hold.counts[order.machine] = left - 1
-            facts[jobOf(order.task)] = order.facts
-            machine.uses(order.facts.image)
-            machine.attempts.getOrPut(order.task to order.attempt) { Attempt(order.task, order.attempt) }
+            machine.hold(hold.ask.facts.shape, -1)
+            machine.uses(hold.ask.facts)
+            if (!machine.attempts.containsKey(order.attempt)) {
+                machine.attempts.put(order.attempt, Attempt("${hold.ask.job}/${order.index}", order.attempt))
+                machine.changed()
+            }
+            ordersDue += machine
         }
         touch(machine)
     }
 
-    private fun usable(machine: Machine) = machine.settled && !machine.lost && machine.recallUs == null
+    /** Not in use: what is unsettled, going away, doesn't heed orders, or reports too long a list of what can't be cleared yet. */
+    private fun usable(machine: Machine) =
+        machine.settled && !machine.lost && !machine.deaf && machine.recallUs == null && machine.attempts.size < MOST_ATTEMPTS
+
+    private fun release(stamp: Long) {
+        val hold = holds.remove(stamp) ?: return
+        for ((name, count) in hold.counts) if (count > 0) machines[name]?.hold(hold.ask.facts.shape, -count)
+    }
 
     private fun lapse(now: Long) {
-        holds.values.removeIf { now - it.grantedUs > HOLD_US }
+        if (holds.isEmpty()) return
+        holds.values
+            .filter { now - it.grantedUs > HOLD_US }
+            .map { it.ask.stamp }
+            .forEach(::release)
     }
 
     /** Holds room for as many tasks of the request as fit, on the roomiest machines. */
@@ -380,32 +461,23 @@
     ): Offer {
         if (ask.zone != null && ask.zone != zone) return Offer(ask.stamp, emptyList())
         facts[ask.job] = ask.facts
-        val room = HashMap<String, Int>()
+        val fitting = ArrayList<Held>()
         for (machine in machines.values) {
             if (!usable(machine) || machine.name in closed) continue
             if (now - machine.heardUs > reportUs * 5 / 2) continue
             if ((ask.builds != null && machine.build !in ask.builds) || (machine.spot && !ask.spot)) continue
-            val tasks = room(machine, ask.facts.shape)
-            if (tasks > 0) room[machine.name] = tasks
+            val capacity = buildOf(machine.build)?.capacity ?: continue
+            val tasks = machine.room(ask.facts.shape, capacity, factsOf)
+            if (tasks > 0) fitting += Held(machine.name, tasks, tasks, machine.warm(ask.facts.image))
+        }
+        val held = Room.take(fitting, ask.count, ask.warmFirst)
+        if (held.isNotEmpty()) {
+            holds[ask.stamp] = Hold(ask, now, held.associateTo(HashMap()) { it.machine to it.count })
+            held.forEach { machines.getValue(it.machine).hold(ask.facts.shape, it.count) }
         }
-        val warm = room.keys.filterTo(HashSet()) { machines.getValue(it).warm(ask.facts.image) }
-        val held = Room.take(room.map { (name, tasks) -> Held(name, tasks, tasks, name in warm) }, ask.count)
-        if (held.isNotEmpty()) holds[ask.stamp] = Hold(ask, now, held.associateTo(LinkedHashMap()) { it.machine to it.count })
         return Offer(ask.stamp, held)
     }
 
-    /** How many more tasks of [shape] a machine takes; none where something on it is of unknown size. */
-    private fun room(
-        machine: Machine,
-        shape: Shape,
-    ): Int {
-        val capacity = buildOf(machine.build)?.capacity ?: return 0
-        val used = machine.used { facts[jobOf(it)]?.shape } ?: return 0
-        var free = capacity - used
-        for (hold in holds.values) free -= hold.ask.facts.shape * (hold.counts[machine.name] ?: continue)
-        return free.fits(shape)
-    }
-
     /** Watches over silence: past its lease, counted from the last answer, a worker has killed its tasks. */
     fun tick(now: Long) {
         lapse(now)
@@ -414,6 +486,7 @@
             if (!machine.lost && now - since > withDrift(leaseUs) + SILENCE_MARGIN_US) {
                 machine.lost = true
                 machine.attempts.clear()
+                machine.changed()
                 touch(machine)
             }
             // Counted from the takeover at the earliest: a worker needs time to find its new owner.
@@ -422,27 +495,43 @@
                 machine.silent = silent
                 touch(machine)
             }
-            dropUnsent(machine, now)
         }
-        machines.values.removeIf { it.lost && now - it.answeredUs > FORGET_US }
+        unwanted.toList().forEach { dropUnsent(it, now) }
+        machines.values.filter { it.lost && now - it.answeredUs > FORGET_US }.forEach(::forget)
+    }
+
+    private fun forget(machine: Machine) {
+        machines -= machine.name
+        addresses -= machine.name
+        probedUs -= machine.name
+        unacked -= machine
+        ordersDue -= machine
+        unwanted -= machine
     }
 
-    /** The next frame for the leader, or null while there is nothing to say. */
+    /** The next frame for the leader, or null while there is nothing to say. Offers go at once, the rest in batches. */
     fun frame(now: Long): PartFrame? {
         if (leaderTerm == 0L) return null
-        if (!dirty && now - sentUs < HEARTBEAT_US) return null
-        dirty = false
+        val due = if (dirty) now - sentUs >= BATCH_US || offers.isNotEmpty() else now - sentUs >= HEARTBEAT_US
+        if (!due) return null
         sentUs = now
+        val news = unacked.take(MOST_TOLD)
+        val whole = news.size == unacked.size
+        dirty = !whole
+        // While a piece is missing, nothing may be concluded from what is not listed.
+        if (whole) toldSeq = seq
         val frame =
             PartFrame(
-                zone = zone,
+                part = id,
                 term = term,
                 ageUs = now - acquiredUs,
                 leaderTerm = leaderTerm,
-                seq = seq,
+                seq = toldSeq,
+                heardSeq = seq,
                 since = acked,
-                version = version,
-                machines = machines.values.filter { it.version > acked }.map(::view),
+                version = if (whole) version else news.last().version,
+                whole = whole,
+                machines = news.map(::view),
                 offers = ArrayList(offers),
             )
         offers.clear()
@@ -456,6 +545,7 @@
             machine.build,
             machine.spot,
             machine.settled,
+            machine.deaf,
             machine.silent,
             machine.lost,
             machine.recallUs,
@@ -465,12 +555,18 @@
     companion object {
         private const val HOLD_US = 5 * SECOND
         private const val HEARTBEAT_US = 800 * MILLI
+        private const val BATCH_US = 100 * MILLI
         private const val SILENCE_MARGIN_US = SECOND
         private const val SILENT_REPORTS = 3
         private const val FORGET_US = 1200 * SECOND
         private const val PROBE_US = 1500 * MILLI
         private const val MAX_COMMANDS = 200
+        private const val MOST_PROBES = 24
+        private const val MOST_TOLD = 100
+        private const val MOST_ATTEMPTS = 150
+        private const val REMEMBERED_JOBS = 10_000
 
-        fun jobOf(task: String) = task.substringBefore('/')
+        /** After so many leases no repeat of an order is expected any more. */
+        private const val REPEATS_LEASES = 10
     }
 }
--- a/src/main/kotlin/lichenstage/part/Wire.kt
+++ b/src/main/kotlin/lichenstage/part/Wire.kt
@@ -1,9 +1,14 @@
 package lichenstage.part
 
+import com.fasterxml.jackson.core.JsonFactory
+import com.fasterxml.jackson.core.JsonParser
+import com.fasterxml.jackson.core.JsonToken
+import io.vertx.core.buffer.Buffer
 import io.vertx.core.json.JsonArray
 import io.vertx.core.json.JsonObject
 import lichenstage.app.SECOND
 import lichenstage.cluster.TaskPhase
+import java.io.IOException
 
 /** One task in a worker's report. */
 data class ReportedTask(
@@ -51,27 +56,86 @@
 
 /** The words of the worker protocol. */
 object WorkerCodec {
-    /** The report in [json], or null where anything needed is missing or of the wrong kind. */
-    fun report(json: JsonObject): Report? =
+    private val json = JsonFactory()
+
+    /** The report in [body], or null where anything needed is missing or of the wrong kind. Read once, with no tree in between. */
+    fun report(body: Buffer): Report? =
         try {
-            Report(
-                machine = json.getString("holdfast")!!,
-                address = json.getString("addr")!!,
-                build = json.getString("build")!!,
-                zone = json.getString("yard")!!,
-                spot = json.getBoolean("loaners") ?: false,
-                session = json.getLong("tenure")!!,
-                sequence = json.getLong("tally")!!,
-                token = json.getLong("warrant") ?: 0,
-                recallUs = json.getDouble("recall_s")?.let { (it * SECOND).toLong() },
-                tasks = (json.getJsonArray("parts") ?: JsonArray()).map { task(it as JsonObject) },
-            )
+            json.createParser(body.bytes).use { parser ->
+                if (parser.nextToken() == JsonToken.START_OBJECT) Draft().read(parser) else null
+            }
+        } catch (_: IOException) {
+            null
         } catch (_: RuntimeException) {
             null
         }
 
-    private fun task(json: JsonObject) =
-        ReportedTask(json.getString("part")!!, json.getLong("try")!!, phase(json.getString("status")!!), json.getString("cause"))
+    /** The fields of a report as they are met. */
+    private class Draft {
+        private var machine: String? = null
+        private var address: String? = null
+        private var build: String? = null
+        private var zone: String? = null
+        private var spot = false
+        private var session = -1L
+        private var sequence = -1L
+        private var token = 0L
+        private var recallUs: Long? = null
+        private var tasks: MutableList<ReportedTask> = ArrayList()
+
+        fun read(parser: JsonParser): Report {
+            while (parser.nextToken() != JsonToken.END_OBJECT) {
+                val name = parser.currentName()
+                val value = parser.nextToken()
+                when (name) {
+                    "holdfast" -> machine = text(parser)
+                    "addr" -> address = text(parser)
+                    "build" -> build = text(parser)
+                    "yard" -> zone = text(parser)
+                    "loaners" -> spot = value == JsonToken.VALUE_TRUE
+                    "tenure" -> session = parser.longValue
+                    "tally" -> sequence = parser.longValue
+                    "warrant" -> if (value != JsonToken.VALUE_NULL) token = parser.longValue
+                    "recall_s" -> if (value != JsonToken.VALUE_NULL) recallUs = (parser.doubleValue * SECOND).toLong()
+                    "parts" -> if (value != JsonToken.VALUE_NULL) tasks(parser)
+                    else -> parser.skipChildren()
+                }
+            }
+            require(session >= 0 && sequence >= 0)
+            return Report(machine!!, address!!, build!!, zone!!, spot, session, sequence, token, recallUs, tasks)
+        }
+
+        private fun text(parser: JsonParser): String {
+            require(parser.currentToken() == JsonToken.VALUE_STRING)
+            return parser.text
+        }
+
+        private fun tasks(parser: JsonParser) {
+            require(parser.currentToken() == JsonToken.START_ARRAY)
+            while (parser.nextToken() == JsonToken.START_OBJECT) tasks += task(parser)
+            require(parser.currentToken() == JsonToken.END_ARRAY)
+        }
+
+        private fun task(parser: JsonParser): ReportedTask {
+            var task: String? = null
+            var attempt = -1L
+            var phase: TaskPhase? = null
+            var cause: String? = null
+            while (parser.nextToken() != JsonToken.END_OBJECT) {
+                val name = parser.currentName()
+                val value = parser.nextToken()
+                when (name) {
+                    "part" -> task = text(parser)
+                    "try" -> attempt = parser.longValue
+                    "status" -> phase = phase(text(parser))
+                    "cause" -> if (value != JsonToken.VALUE_NULL) cause = text(parser)
+                    else -> parser.skipChildren()
+                }
+            }
+            require(attempt >= 0)
+            return ReportedTask(task!!, attempt, phase!!, cause)
+        }
+    }
 
     /** A word that isn't known means that the task is there in some way: it counts as running. */
     private fun phase(word: String) =
--- a/src/main/kotlin/lichenstage/part/WorkerClient.kt
+++ b/src/main/kotlin/lichenstage/part/WorkerClient.kt
@@ -4,7 +4,6 @@
 import io.vertx.core.http.HttpClientOptions
 import io.vertx.core.http.HttpMethod
 import io.vertx.core.http.PoolOptions
-import io.vertx.core.json.JsonObject
 import io.vertx.kotlin.coroutines.coAwait
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.withTimeoutOrNull
@@ -35,9 +34,10 @@
         token: Long,
     ): Report? {
         val address = parseAddress(probe.address) ?: return null
-        // An empty order for a session that can't be is refused with a report that names the session.
-        val first = post(address, token, 0, emptyList()) as? OrderOutcome.Answered
-        val session = first?.report?.session ?: return null
+        // An empty order for a session that isn't the worker's is refused with a report that names the session.
+        val first = post(address, token, probe.session, emptyList()) as? OrderOutcome.Answered ?: return null
+        if (first.executed) return first.report
+        val session = first.report?.session ?: return null
         return (post(address, token, session, emptyList()) as? OrderOutcome.Answered)?.takeIf { it.executed }?.report
     }
 
@@ -55,7 +55,7 @@
                 sent = true
                 val response = request.send(WorkerCodec.orders(token, commands, session).toBuffer()).coAwait()
                 val body = response.body().coAwait()
-                val report = runCatching { WorkerCodec.report(JsonObject(body)) }.getOrNull()
+                val report = WorkerCodec.report(body)
                 when (response.statusCode()) {
                     200 -> OrderOutcome.Answered(true, report)
                     409, 400 -> OrderOutcome.Answered(false, report)
--- a/src/main/kotlin/lichenstage/placement/Choice.kt
+++ b/src/main/kotlin/lichenstage/placement/Choice.kt
@@ -6,29 +6,44 @@
 
 /** A held place that may be chosen. */
 data class Place(
-    val zone: String,
+    val part: String,
     val machine: String,
 )
 
 /** What the leader picks of the offers for one request. */
 object Choice {
     /**
-     * The [most] places on the roomiest of the held machines.
+     * The [most] places on the roomiest of the held machines; [offers] are by part.
      *
      * [zoneRoom] says how many more tasks of the job a zone may get (spread and one-zone jobs).
      */
     fun roomiest(
         offers: Map<String, List<Held>>,
         most: Int,
+        zoneOf: (String) -> String,
+        warmFirst: Boolean = false,
         zoneRoom: (String) -> Int,
     ): List<Place> {
-        val zoneOf = offers.flatMap { (zone, held) -> held.map { it.machine to zone } }.toMap()
-        val allowed = offers.flatMap { (zone, held) -> Room.take(held, minOf(most, zoneRoom(zone))) }
-        return Room.take(allowed, most).flatMap { held -> List(held.count) { Place(zoneOf.getValue(held.machine), held.machine) } }
+        val partOf = HashMap<String, String>()
+        for ((part, held) in offers) held.forEach { partOf[it.machine] = part }
+        val allowed =
+            offers.entries
+                .groupBy({ zoneOf(it.key) }, { it.value })
+                .flatMap { (zone, held) -> Room.take(held.flatten(), minOf(most, zoneRoom(zone)), warmFirst) }
+        return Room
+            .take(allowed, most, warmFirst)
+            .flatMap { held -> List(held.count) { Place(partOf.getValue(held.machine), held.machine) } }
     }
 
     /** For a job whose tasks must share a zone: the zone that offers most. */
-    fun bestZone(offers: Map<String, List<Held>>): String? = offers.entries.maxByOrNull { entry -> entry.value.sumOf { it.count } }?.key
+    fun bestZone(
+        offers: Map<String, List<Held>>,
+        zoneOf: (String) -> String,
+    ): String? =
+        offers.entries
+            .groupBy { zoneOf(it.key) }
+            .maxByOrNull { (_, parts) -> parts.sumOf { part -> part.value.sumOf { it.count } } }
+            ?.key
 }
 
 /** Requests that were broadcast together, and what the parts have answered so far. */
@@ -37,6 +52,7 @@
     now: Long,
     alphaUs: Long,
 ) {
+    private val stamps = asks.mapTo(HashSet()) { it.first.stamp }
     private val offers = HashMap<Long, HashMap<String, List<Held>>>()
     private val answered = HashSet<String>()
     var deadlineUs = now + alphaUs
@@ -44,18 +60,18 @@
 
     /** Takes an offer; after each, the wait is [betaUs] from now. */
     fun offered(
-        zone: String,
+        part: String,
         stamp: Long,
         held: List<Held>,
         now: Long,
         betaUs: Long,
     ) {
-        if (asks.none { it.first.stamp == stamp }) return
-        offers.getOrPut(stamp) { HashMap() }[zone] = held
-        if (answered.add(zone)) deadlineUs = now + betaUs
+        if (stamp !in stamps) return
+        offers.getOrPut(stamp) { HashMap() }[part] = held
+        if (answered.add(part)) deadlineUs = now + betaUs
     }
 
-    fun heardFrom(zones: Set<String>) = answered.containsAll(zones)
+    fun heardFrom(parts: Set<String>) = answered.containsAll(parts)
 
     fun of(stamp: Long): Map<String, List<Held>> = offers[stamp] ?: emptyMap()
 }
--- a/src/main/kotlin/lichenstage/placement/Effect.kt
+++ b/src/main/kotlin/lichenstage/placement/Effect.kt
@@ -3,18 +3,27 @@
 import lichenstage.cluster.LeaderFrame
 import java.util.BitSet
 
+/** Tasks of a job that are done but not recorded, and the chunks in which they fall. */
+data class DoneNews(
+    val job: Job,
+    val covers: BitSet,
+    val chunks: List<Int>,
+)
+
 /** What the leader's decisions ask of the outside. */
 sealed interface Effect {
     data class Send(
-        val zone: String,
+        val part: String,
         val frame: LeaderFrame,
     ) : Effect
 
-    /** Record that these tasks of a job are done; [last] where with them the job is over. */
-    data class WriteDone(
+    /** Record that these tasks are done, in one transaction. */
+    data class WriteRanges(
+        val news: List<DoneNews>,
+    ) : Effect
+
+    /** Record that all tasks of a job are done, and with them the job. */
+    data class Finish(
         val job: Job,
-        val covers: BitSet,
-        val chunks: List<Int>,
-        val last: Boolean,
     ) : Effect
 }
--- a/src/main/kotlin/lichenstage/placement/Goals.kt
+++ b/src/main/kotlin/lichenstage/placement/Goals.kt
@@ -38,6 +38,12 @@
             }
     }
 
+    /** Starts of this class are promised within less than [withinUs]. */
+    fun startsWithin(
+        jobClass: String,
+        withinUs: Long,
+    ) = byClass[ObjectiveKind.WAIT to jobClass].orEmpty().any { it < withinUs }
+
     /** The times (steady) by which the job should be complete, the earliest first. */
     fun dueUs(job: Job): List<Long> {
         val spec = job.spec
--- a/src/main/kotlin/lichenstage/placement/Job.kt
+++ b/src/main/kotlin/lichenstage/placement/Job.kt
@@ -12,13 +12,13 @@
     val index: Int,
     val number: Long,
     val machine: String,
-    val zone: String,
+    val part: String,
 ) {
     /** The part's ownership term and the frame in which the start went out: what is older than these tells nothing of it. */
     var partTerm = 0L
     var seq = 0L
     var phase = TaskPhase.PENDING
-    val task = taskName(job.spec.id, index)
+    val task get() = taskName(job.spec.id, index)
     var runningUs = 0L
 }
 
@@ -36,7 +36,13 @@
 
     /** What the state service holds of [done]. */
     val durable = BitSet()
-    var writing = false
+
+    /** A record of its done ranges, or of its end, is being written. */
+    var rangesUnderWay = false
+    var finishUnderWay = false
+
+    /** Machines whose lists have named a task of it. */
+    val listedOn = HashSet<String>()
     val alive = Int2ObjectLinkedOpenHashMap<Attempt>()
 
     /** Tasks that wait for a place; empty until the job may be placed. */
@@ -45,7 +51,26 @@
     var notBeforeUs = Long.MIN_VALUE
     var failures = 0
 
-    val complete get() = done.cardinality() >= spec.tasks
+    private var doneCount = 0
+
+    val complete get() = doneCount >= spec.tasks
+
+    val left get() = spec.tasks - doneCount
+
+    /** False where that was known. */
+    fun did(index: Int): Boolean {
+        if (done.get(index)) return false
+        done.set(index)
+        doneCount++
+        return true
+    }
+
+    /** What the record of an earlier leader says. */
+    fun recorded(tasks: BitSet) {
+        done.or(tasks)
+        durable.or(tasks)
+        doneCount = done.cardinality()
+    }
 
     /** Fills the queue with every task that is neither done nor possibly on a machine. */
     fun open() {
--- a/src/main/kotlin/lichenstage/placement/LeaderActor.kt
+++ b/src/main/kotlin/lichenstage/placement/LeaderActor.kt
@@ -21,6 +21,7 @@
 import lichenstage.fleet.Estimate
 import lichenstage.fleet.FleetCore
 import lichenstage.fleet.FleetPolicy
+import lichenstage.fleet.Forecast
 import lichenstage.fleet.Hire
 import lichenstage.fleet.Hired
 import lichenstage.fleet.Listed
@@ -59,14 +60,20 @@
         val removed: List<String>,
     ) : LeaderMessage
 
-    data class DoneWritten(
-        val effect: Effect.WriteDone,
+    data class RangesWritten(
+        val news: List<DoneNews>,
+        val ok: Boolean,
+    ) : LeaderMessage
+
+    data class Finished(
+        val job: Job,
         val outcome: Committed,
         val stillOpen: Boolean,
     ) : LeaderMessage
 
+    /** [pages] of the registry were written. */
     data class Registered(
-        val zones: Map<String, String>,
+        val pages: List<RegistryPage>,
         val ok: Boolean,
     ) : LeaderMessage
 
@@ -111,20 +118,24 @@
         LeaderCore(
             term,
             stamp,
-            settings.zones,
+            settings.parting,
             settings.teams,
             settings.workerLeaseUs,
             timers,
             goals,
             { catalog.flavors[it]?.capacity },
+            settings.txnOps,
             ::effect,
         )
-    private val fleet = FleetCore(term, policy)
+    private val registry = Registry(settings.valueBytes)
+    private val forecast = Forecast(clock.now())
+    private val fleet = FleetCore(term, policy, forecast)
     private val mailbox = Mailbox<LeaderMessage>("leader", scope, ::handle)
     private var loaded = false
     private var cloudBusy = false
     private var cloudCalledUs = Long.MIN_VALUE / 2
     private var registryBusy = false
+    private var registeredUs = Long.MIN_VALUE / 2
     private var countedUs = Long.MIN_VALUE / 2
     private var observedUs = Long.MIN_VALUE / 2
 
@@ -195,15 +206,20 @@
 
             is LeaderMessage.Changed -> {
                 message.added.forEach(::added)
-                message.removed.forEach { core.jobClosed(it.removePrefix(JobRecord.OPEN)) }
+                message.removed.forEach(::closed)
             }
 
             is LeaderMessage.FromPart -> {
                 if (loaded) core.frame(message.frame, now)
             }
 
-            is LeaderMessage.DoneWritten -> {
-                doneWritten(message)
+            is LeaderMessage.RangesWritten -> {
+                core.rangesWritten(message.news, message.ok, now)
+                message.news.filter { it.job.phase == JobPhase.CLOSED }.forEach { tidy(it.job) }
+            }
+
+            is LeaderMessage.Finished -> {
+                finished(message)
             }
 
             is LeaderMessage.Registered -> {
@@ -241,7 +257,7 @@
             observe(now)
         }
         callCloud(now)
-        register()
+        register(now)
         if (now - countedUs >= COUNT_US) {
             countedUs = now
             val counts = Counts(term, core.counts())
@@ -250,22 +266,34 @@
     }
 
     private fun loaded(message: LeaderMessage.Loaded) {
-        message.machines.forEach {
-            val name = it.key.removePrefix(MACHINES)
-            val build = it.value.getString("build")
-            val zone = it.value.getString("zone")
-            core.inherited(listOf(Inherited(name, zone, build, it.value.getString("address"))))
-            fleet.known(name, build, zone, it.value.getBoolean("spot"), 0, clock.now())
-        }
-        message.jobs.forEach(::added)
+        message.machines.forEach { entry -> registry.load(entry).forEach(::known) }
+        // In the order of their submission: the forecast fades what lies back.
+        message.jobs.sortedBy { it.value.getLong("at") ?: 0 }.forEach(::added)
+        val strays = ArrayList<String>()
         for (entry in message.done) {
             val (id, chunk) = entry.key.removePrefix(JobRecord.DONE).split('/')
-            val job = core.jobs[id] ?: continue
-            DoneRanges.decode(entry.value, chunk.toInt(), job.done)
-            job.durable.or(job.done)
+            val job = core.jobs[id]
+            if (job == null) strays += entry.key else job.recorded(BitSet().also { DoneRanges.decode(entry.value, chunk.toInt(), it) })
         }
         loaded = true
-        log.info("leading under term {}: {} jobs, {} machines", term, message.jobs.size, message.machines.size)
+        delete(strays)
+        log.info("leading under term {}: {} jobs, {} machines", term, message.jobs.size, registry.size)
+    }
+
+    private fun known(machine: Registered) {
+        val part = settings.parting.partOf(machine.name, machine.zone)
+        if (part == null) {
+            log.error("machine {} is recorded in {}, which is no zone of this deployment", machine.name, machine.zone)
+            return
+        }
+        core.inherited(listOf(Inherited(machine.name, part, machine.build, machine.address)))
+        fleet.known(machine.name, machine.build, machine.zone, machine.spot, 0, clock.now())
+    }
+
+    private fun closed(key: String) {
+        val job = core.jobs[key.removePrefix(JobRecord.OPEN)] ?: return
+        core.jobClosed(job.spec.id)
+        tidy(job)
     }
 
     private fun added(entry: Entry) {
@@ -277,69 +305,83 @@
                 return
             }
         val ageUs = TimeUnit.MILLISECONDS.toMicros(System.currentTimeMillis()) - spec.submittedUs
-        core.jobAdded(Job(spec, entry.stamp, clock.now() - ageUs.coerceAtLeast(0)))
+        val job = Job(spec, entry.stamp, clock.now() - ageUs.coerceAtLeast(0))
+        if (spec.id in core.jobs) return
+        core.jobAdded(job)
+        val runUs = core.runTimes.expectedUs(spec)
+        Estimate.arrival(job, catalog.flavors, runUs) { goals.startsWithin(spec.kind, it.bootUs) }?.let(forecast::arrived)
     }
 
     private fun reloaded(entries: List<Entry>) {
         val there = entries.mapTo(HashSet()) { it.key.removePrefix(JobRecord.OPEN) }
         core.jobs.keys
             .filter { it !in there }
-            .forEach(core::jobClosed)
+            .forEach { closed(JobRecord.OPEN + it) }
         entries.forEach(::added)
     }
 
     private fun effect(effect: Effect) {
         when (effect) {
-            is Effect.Send -> authority.owner(effect.zone)?.let { send(it.label, effect.frame) }
-            is Effect.WriteDone -> scope.launch { writeDone(effect) }
+            is Effect.Send -> authority.owner(effect.part)?.let { send(it.label, effect.frame) }
+            is Effect.WriteRanges -> scope.launch { writeRanges(effect.news) }
+            is Effect.Finish -> scope.launch { finish(effect.job) }
         }
     }
 
-    /** Guarded by the leadership and the job's record: a late transaction of an earlier leader changes nothing. */
-    private suspend fun writeDone(effect: Effect.WriteDone) {
-        val id = effect.job.spec.id
-        val guards = mapOf(Authority.LEADER to stamp, JobRecord.OPEN + id to effect.job.stamp)
-        var outcome: Committed = Committed.Yes(0)
-        if (effect.last) {
-            val finished = JsonObject().put("status", "done").put("tasks", effect.job.spec.tasks)
-            outcome = state.txn(guards, listOf(Change.Delete(JobRecord.OPEN + id), Change.Put(JobRecord.FINISHED + id, finished)))
-        } else {
-            for (group in effect.chunks.chunked(settings.txnOps)) {
-                val puts = group.map { Change.Put(DoneRanges.key(id, it), DoneRanges.encode(effect.covers, it)) }
-                outcome = state.txn(guards, puts)
-                if (outcome !is Committed.Yes) break
+    /**
+     * Guarded by the leadership alone: a late transaction of an earlier leader changes nothing, and ranges of a job that ended
+     * meanwhile are tidied away.
+     */
+    private suspend fun writeRanges(news: List<DoneNews>) {
+        val puts =
+            news.flatMap { row ->
+                row.chunks.map { Change.Put(DoneRanges.key(row.job.spec.id, it), DoneRanges.encode(row.covers, it)) }
             }
-        }
-        val stillOpen = outcome !is Committed.Refused || state.get(JobRecord.OPEN + id) !is Read.Missing
-        mailbox.tell(LeaderMessage.DoneWritten(effect, outcome, stillOpen))
+        val outcome = writeAll(puts)
+        if (!outcome) delay(RETRY_MS)
+        mailbox.tell(LeaderMessage.RangesWritten(news, outcome))
     }
 
-    private fun doneWritten(message: LeaderMessage.DoneWritten) {
-        val job = message.effect.job
-        when {
-            message.outcome is Committed.Yes -> {
-                core.doneWritten(job, message.effect.covers, message.effect.last)
-                if (message.effect.last && !job.durable.isEmpty) tidy(job)
-            }
+    private suspend fun writeAll(changes: List<Change>): Boolean {
+        val guards = mapOf(Authority.LEADER to stamp)
+        return changes.chunked(settings.txnOps).all { state.txn(guards, it, urgent = false) is Committed.Yes }
+    }
 
-            else -> {
-                core.doneNotWritten(job)
-                if (!message.stillOpen) core.jobClosed(job.spec.id)
-            }
+    private suspend fun finish(job: Job) {
+        val id = job.spec.id
+        val guards = mapOf(Authority.LEADER to stamp, JobRecord.OPEN + id to job.stamp)
+        val record = JsonObject().put("status", "done").put("tasks", job.spec.tasks)
+        val outcome = state.txn(guards, listOf(Change.Delete(JobRecord.OPEN + id), Change.Put(JobRecord.FINISHED + id, record)))
+        val stillOpen = outcome !is Committed.Refused || state.get(JobRecord.OPEN + id) !is Read.Missing
+        if (outcome !is Committed.Yes) delay(RETRY_MS)
+        mailbox.tell(LeaderMessage.Finished(job, outcome, stillOpen))
+    }
+
+    private fun finished(message: LeaderMessage.Finished) {
+        val job = message.job
+        if (message.outcome is Committed.Yes) {
+            core.finished(job)
+            tidy(job)
+        } else {
+            core.notFinished(job)
+            if (!message.stillOpen) closed(JobRecord.OPEN + job.spec.id)
         }
     }
 
-    /** Done ranges of a job that is over are of no more use. */
+    /** Done ranges of a job that is over are of no more use. Where some are still being written, it is done after that. */
     private fun tidy(job: Job) {
-        val keys = (0 until DoneRanges.chunks(job.spec.tasks)).map { DoneRanges.key(job.spec.id, it) }
-        scope.launch {
-            for (group in keys.chunked(settings.txnOps)) state.txn(mapOf(Authority.LEADER to stamp), group.map { Change.Delete(it) })
-        }
+        if (job.rangesUnderWay || job.durable.isEmpty) return
+        delete((0 until DoneRanges.chunks(job.spec.tasks)).map { DoneRanges.key(job.spec.id, it) })
+    }
+
+    private fun delete(keys: List<String>) {
+        if (keys.isNotEmpty()) scope.launch { writeAll(keys.map { Change.Delete(it) }) }
     }
 
     private fun observe(now: Long) {
         fleet.flavors = catalog.flavors
-        for ((zone, part) in core.parts) {
+        for ((id, part) in core.parts) {
+            val zone = settings.parting.zone(id) ?: continue
             part.machines.values.forEach { fleet.known(it.name, it.build, zone, it.spot, 0, now) }
         }
         fleet.fence(core.blockers())
@@ -368,8 +410,7 @@
             },
             now,
         )
-        core.closed.clear()
-        core.closed += fleet.closing()
+        core.close(fleet.closing())
     }
 
     private fun callCloud(now: Long) {
@@ -399,44 +440,42 @@
 
     /**
      * Machines get tasks only once the state service holds their names (invariant 4), and are recorded only once they have
-     * been seen: a leader that comes after need not wait for one that never came up.
+     * shown the token: a leader that comes after need not wait for one that never came up, and a late copy of a report of one
+     * that is gone does not bring it back.
      */
-    private fun register() {
-        if (registryBusy) return
+    private fun register(now: Long) {
+        if (registryBusy || now - registeredUs < REGISTER_US) return
         val closing = fleet.closing()
-        val news =
-            core.parts
-                .flatMap { (zone, part) -> part.machines.values.map { zone to it } }
-                .filter { (_, view) -> view.name !in core.registry && view.name !in closing }
-                .take(settings.txnOps)
-        if (news.isEmpty()) return
-        registryBusy = true
-        val puts =
-            news.map { (zone, view) ->
-                val record = JsonObject().put("build", view.build).put("zone", zone).put("spot", view.spot)
-                Change.Put(MACHINES + view.name, record.put("address", view.address))
+        for ((id, part) in core.parts) {
+            val zone = settings.parting.zone(id) ?: continue
+            for (view in part.machines.values) {
+                if (!view.settled || view.lost || view.name in core.registry || view.name in closing || view.name in registry) continue
+                registry.add(Registered(view.name, view.build, zone, view.spot, view.address))
             }
+        }
+        val pages = registry.due(settings.txnOps)
+        if (pages.isEmpty()) return
+        registryBusy = true
+        registeredUs = now
         scope.launch {
-            val outcome = state.txn(mapOf(Authority.LEADER to stamp), puts)
-            if (outcome !is Committed.Yes) delay(300)
-            mailbox.tell(LeaderMessage.Registered(news.associate { (zone, view) -> view.name to zone }, outcome is Committed.Yes))
+            val outcome = state.txn(mapOf(Authority.LEADER to stamp), pages.map { it.change })
+            if (outcome !is Committed.Yes) delay(RETRY_MS)
+            mailbox.tell(LeaderMessage.Registered(pages, outcome is Committed.Yes))
         }
     }
 
     private fun registered(message: LeaderMessage.Registered) {
         registryBusy = false
-        if (message.ok) core.registered(message.zones)
+        if (!message.ok) return registry.notWritten(message.pages)
+        val news = message.pages.flatMap { it.machines }.filter { it.name !in core.registry }
+        core.registered(news.associate { it.name to settings.parting.partOf(it.name, it.zone)!! })
     }
 
     private fun returned(names: List<String>) {
         log.info("returned {}", names)
         fleet.returned(names)
         names.forEach(core::machineGone)
-        scope.launch {
-            for (group in names.chunked(settings.txnOps)) {
-                state.txn(mapOf(Authority.LEADER to stamp), group.map { Change.Delete(MACHINES + it) })
-            }
-        }
+        registry.remove(names)
     }
 
     private companion object {
@@ -444,6 +483,8 @@
         const val TICK_MS = 100L
         const val WATCH_MS = 8000L
         const val OBSERVE_US = 500_000L
-        const val COUNT_US = 1_000_000L
+        const val COUNT_US = 2_000_000L
+        const val REGISTER_US = 300_000L
+        const val RETRY_MS = 300L
     }
 }
--- a/src/main/kotlin/lichenstage/placement/LeaderCore.kt
+++ b/src/main/kotlin/lichenstage/placement/LeaderCore.kt
@@ -6,10 +6,11 @@
 import lichenstage.app.withDrift
 import lichenstage.cluster.Ask
 import lichenstage.cluster.AttemptOrder
-import lichenstage.cluster.JobFacts
+import lichenstage.cluster.Held
 import lichenstage.cluster.LeaderFrame
 import lichenstage.cluster.MachineView
 import lichenstage.cluster.PartFrame
+import lichenstage.cluster.Parting
 import lichenstage.cluster.Shape
 import lichenstage.cluster.StartOrder
 import lichenstage.cluster.TaskPhase
@@ -24,68 +25,53 @@
     val betaUs: Long = 300 * MILLI,
     val retryUs: Long = SECOND,
     val paceUs: Long = 50 * MILLI,
-    val flushUs: Long = SECOND,
-    val askJobs: Int = 16,
-    val askTasks: Int = 48,
+    val flushUs: Long = 2 * SECOND,
+    val askJobs: Int = 24,
+    val askTasks: Int = 64,
 )
 
-/** A machine that was registered before a leader's term. */
-data class Inherited(
-    val name: String,
-    val zone: String,
-    val build: String,
-    val address: String?,
-)
-
-/** How large the jobs of a class are. */
-private class Mean {
-    private var sum = 0.0
-    private var count = 0
-    val mean get() = sum / count
-
-    fun add(value: Int) {
-        sum += value
-        count++
-    }
-}
-
 /** What the leader knows of one part. */
 class PartState(
     val term: Long,
 ) {
     var version = 0L
+
+    /** The frame up to which the part has told all that came of it, and the last that it has taken. */
     var seq = 0L
+    var heardSeq = 0L
+
+    /** As of the last frame that left nothing out: before one, a missing machine means nothing. */
     var ageUs = 0L
     var heardUs = 0L
     val machines = LinkedHashMap<String, MachineView>()
 }
 
 /**
- * The leader: the queue, the requests, and every attempt that may be running.
+ * The leader: the requests, and every attempt that may be running.
  *
  * Plain code: events with the time come in, effects go out through [emit]. A start goes out only for a task of which it
- * is known that no other attempt can be running, and within the limits counted over all that may be running.
+ * is known that no other attempt can be running, and within the limits counted over all that may be running. A frame costs by
+ * what it changes; what must look at everything is done once in [SWEEP_US].
  */
 class LeaderCore(
     val term: Long,
     private val stamp: Long,
-    private val zones: List<String>,
-    private val teams: Map<String, Team>,
+    private val parting: Parting,
+    teams: Map<String, Team>,
     private val leaseUs: Long,
     private val timers: Timers,
-    private val goals: Goals,
+    goals: Goals,
     private val capacityOf: (String) -> Shape?,
+    private val batch: Int,
     private val emit: (Effect) -> Unit,
 ) {
     private val log = LoggerFactory.getLogger("lichenstage.placement")
     val jobs = LinkedHashMap<String, Job>()
     val parts = HashMap<String, PartState>()
 
-    /** Names that the state service holds: only these may get tasks (invariant 4). With the zone of each. */
+    /** Names that the state service holds, with the part of each: only these may get tasks (invariant 4). */
     val registry = HashMap<String, String>()
-
-    /** Machines that may hold tasks of an earlier leader: what was registered when this term began. */
-    private val awaited = HashMap<String, Inherited>()
+    private val takeover = Takeover(leaseUs) { parts[it] }
     private val addresses = HashMap<String, String>()
 
     /** Machines proven gone: a late word about one is not believed. */
@@ -95,51 +81,65 @@
     val faults = HashMap<String, HashSet<String>>()
 
     /** Machines that get no more tasks. */
-    val closed = HashSet<String>()
-    private val attempts = HashMap<String, LinkedHashSet<Attempt>>()
-    private val usedCores = HashMap<String, Double>()
-    private val usedCards = HashMap<String, Double>()
+    private var closed: Set<String> = emptySet()
+    private val ledger = Ledger(teams)
+    private val orders = Orders()
+    val runTimes = RunTimes()
+    private val queue = Queue(goals, teams, runTimes)
+
+    /** Machines on which something runs whose job has no record any more, so that nobody knows its team. */
+    private val strange = HashMap<String, String>()
     private val seqs = HashMap<String, Long>()
-    private val factsSeq = HashMap<String, Long>()
+    private val informedBy = HashMap<String, Long>()
+    private val closedTold = HashMap<String, Set<String>>()
+    private val closedToldUs = HashMap<String, Long>()
+    private val sentUs = HashMap<String, Long>()
+    private val poked = HashSet<String>()
     private var attemptCounter = 0L
     private var stampCounter = 0L
     private var round: Round? = null
     private var worthAsking = true
     private var askedUs = Long.MIN_VALUE / 2
-    private var flushedUs = Long.MIN_VALUE / 2
-    private val sentUs = HashMap<String, Long>()
-    val runTimes = RunTimes()
-    private val classSizes = HashMap<String, Mean>()
-    private var strangers = Shape(0.0, 0.0, 0.0)
-    private val poked = HashSet<String>()
+    private var sweptUs = Long.MIN_VALUE / 2
+
+    /** Jobs with tasks that are done but not recorded, with when that began, the oldest first. */
+    private val unrecorded = LinkedHashMap<Job, Long>()
+    private var rangesUnderWay = false
+    private var cores = 0.0
 
     /** Every registered machine is accounted for, so what isn't known to run doesn't (invariant 5). */
-    var complete = false
-        private set
+    val complete get() = takeover.complete
 
-    /** The machines that were registered before this term: until each is accounted for, anything may run on it. */
+    /** The machines that were registered before this term. */
     fun inherited(machines: Collection<Inherited>) {
         machines.forEach {
-            registry[it.name] = it.zone
-            awaited[it.name] = it
+            registry[it.name] = it.part
+            takeover.await(it)
             it.address?.let { address -> addresses[it.name] = address }
         }
     }
 
-    /** The state service holds these names now. */
+    /** The state service holds these names now, each with its part. */
     fun registered(machines: Map<String, String>) {
         registry += machines.filterKeys { it !in retired }
         worthAsking = true
     }
 
+    /** These machines get no more tasks. */
+    fun close(machines: Set<String>) {
+        closed = machines
+    }
+
     fun jobAdded(job: Job) {
         if (jobs.containsKey(job.spec.id)) return
         jobs[job.spec.id] = job
-        classSizes.getOrPut(job.spec.kind) { Mean() }.add(job.spec.tasks)
-        // A job accepted within this term can't have been started by an earlier leader.
-        if (complete || job.stamp > stamp) job.open()
+        queue.added(job)
         worthAsking = true
-        zones.forEach { adopt(job, it) }
+        // A job accepted within this term can't have been started by an earlier leader.
+        val fresh = job.stamp > stamp
+        if (complete || fresh) job.open()
+        if (!fresh) parts.keys.forEach { adopt(job, it) }
+        if (job.complete) unrecorded.putIfAbsent(job, Long.MIN_VALUE / 2)
     }
 
     /** The record of the job is gone: cancelled, or done by what an earlier leader wrote. */
@@ -148,7 +148,8 @@
         if (job.phase == JobPhase.CLOSED) return
         job.phase = JobPhase.CLOSED
         job.pending.clear()
-        job.alive.values.forEach { poked += it.zone }
+        unrecorded.remove(job)
+        review(job)
         forgetIfOver(job)
     }
 
@@ -159,13 +160,14 @@
     /** A job that has come to light after the machines that run it. */
     private fun adopt(
         job: Job,
-        zone: String,
+        id: String,
     ) {
-        val part = parts[zone] ?: return
+        val part = parts[id] ?: return
         for (view in part.machines.values) {
-            for (task in view.tasks) {
-                if (task.task.substringBefore('/') == job.spec.id) listed(zone, part, view, task, 0)
-            }
+            val here = view.tasks.filter { it.task.substringBefore('/') == job.spec.id }
+            if (here.isEmpty()) continue
+            here.forEach { listed(id, part, view, it, 0) }
+            collect(id, view)
         }
     }
 
@@ -173,39 +175,39 @@
         frame: PartFrame,
         now: Long,
     ) {
-        if (frame.leaderTerm != term || frame.zone !in zones) return
-        var part = parts[frame.zone]
+        if (frame.leaderTerm != term || parting.zone(frame.part) == null) return
+        var part = parts[frame.part]
         if (part != null && frame.term < part.term) return
         if (part == null || frame.term > part.term) {
             part = PartState(frame.term)
-            parts[frame.zone] = part
-            poked += frame.zone
+            parts[frame.part] = part
+            orders.forget(frame.part)
+            poked += frame.part
         }
         // A frame that builds on what was acknowledged never skips a change; one that does is of another time.
         if (frame.since > part.version || frame.version < part.version || frame.seq < part.seq) return
         part.version = frame.version
         part.seq = frame.seq
-        part.ageUs = frame.ageUs
+        part.heardSeq = frame.heardSeq
+        if (frame.whole) part.ageUs = frame.ageUs
         part.heardUs = now
         for (view in frame.machines) {
             if (view.name in retired) continue
             part.machines[view.name] = view
             addresses[view.name] = view.address
             worthAsking = true
-            poked += frame.zone
-            for (task in view.tasks) listed(frame.zone, part, view, task, now)
-        }
-        settleAttempts(frame.zone, part)
-        val current = round
-        if (current != null) {
-            frame.offers.forEach { current.offered(frame.zone, it.stamp, it.held, now, timers.betaUs) }
+            poked += frame.part
+            for (task in view.tasks) listed(frame.part, part, view, task, now)
+            giveUp(ledger.on(view.name).filter { it.part == frame.part && absent(it, part) })
+            collect(frame.part, view)
         }
+        round?.let { current -> frame.offers.forEach { current.offered(frame.part, it.stamp, it.held, now, timers.betaUs) } }
         checkComplete()
     }
 
     /** What a part says of a task on a machine. */
     private fun listed(
-        zone: String,
+        id: String,
         part: PartState,
         view: MachineView,
         task: TaskView,
@@ -214,12 +216,13 @@
         val job = jobs[task.task.substringBefore('/')] ?: return
         val index = task.task.substringAfter('/').toIntOrNull() ?: return
         if (index !in 0 until job.spec.tasks) return
+        job.listedOn += view.name
         val known = job.alive.get(index)
         val mine = known != null && known.number == task.attempt && known.machine == view.name
         if (task.phase == TaskPhase.ENDED) {
-            if (task.cause == "done" && !job.done.get(index)) {
-                job.done.set(index)
+            if (task.cause == "done" && job.did(index)) {
                 learn(known?.takeIf { mine }, now)
+                if (job.phase == JobPhase.OPEN) unrecorded.putIfAbsent(job, now)
             } else if (mine && task.cause != "done") {
                 failed(job, view, task, now)
             }
@@ -231,11 +234,11 @@
             known.phase = task.phase
         } else if (known == null && view.settled) {
             // Started by an earlier leader.
-            val attempt = Attempt(job, index, task.attempt, view.name, zone)
+            val attempt = Attempt(job, index, task.attempt, view.name, id)
             attempt.partTerm = part.term
             attempt.seq = part.seq
             attempt.phase = task.phase
-            track(attempt)
+            ledger.track(attempt)
         } else if (known != null) {
             log.error("{} is on {} with try {} and on {} with try {}", task.task, view.name, task.attempt, known.machine, known.number)
         }
@@ -263,126 +266,97 @@
         job.notBeforeUs = maxOf(job.notBeforeUs, now + pauseUs / 2)
     }
 
-    private fun track(attempt: Attempt) {
-        attempt.job.alive.put(attempt.index, attempt)
-        attempts.getOrPut(attempt.machine) { LinkedHashSet() }.add(attempt)
-        val spec = attempt.job.spec
-        usedCores.merge(spec.team, spec.shape.cores, Double::plus)
-        usedCards.merge(spec.team, spec.shape.cards, Double::plus)
-    }
-
     /** Nothing of the attempt is left. */
     private fun gone(attempt: Attempt) {
-        val job = attempt.job
-        job.alive.remove(attempt.index)
-        attempts[attempt.machine]?.let {
-            it.remove(attempt)
-            if (it.isEmpty()) attempts.remove(attempt.machine)
-        }
-        val spec = job.spec
-        usedCores.merge(spec.team, -spec.shape.cores, Double::plus)
-        usedCards.merge(spec.team, -spec.shape.cards, Double::plus)
-        job.requeue(attempt.index)
+        ledger.remove(attempt)
+        attempt.job.requeue(attempt.index)
         worthAsking = true
-        forgetIfOver(job)
+        forgetIfOver(attempt.job)
     }
 
-    /** Looks which attempts in a zone can no longer be anywhere. */
-    private fun settleAttempts(
-        zone: String,
+    /** The attempt can no longer be anywhere: its part has seen its start, and its machine does not list it or is gone. */
+    private fun absent(
+        attempt: Attempt,
         part: PartState,
-    ) {
-        val over = ArrayList<Attempt>()
-        for ((machine, there) in attempts) {
-            val view = part.machines[machine]
-            for (attempt in there) {
-                if (attempt.zone != zone) continue
-                val told = attempt.partTerm < part.term || attempt.seq <= part.seq
-                val absent =
-                    when {
-                        view == null -> part.ageUs > withDrift(leaseUs) + UNHEARD_MARGIN_US
-                        view.lost -> true
-                        !view.settled -> false
-                        else -> view.tasks.none { it.attempt == attempt.number && it.task == attempt.task }
-                    }
-                if (told && absent) over += attempt
-            }
+    ): Boolean {
+        if (attempt.partTerm >= part.term && attempt.seq > part.seq) return false
+        val view = part.machines[attempt.machine]
+        return when {
+            view == null -> part.ageUs > withDrift(leaseUs) + Takeover.UNHEARD_MARGIN_US
+            view.lost -> true
+            !view.settled -> false
+            else -> view.tasks.none { it.attempt == attempt.number && it.task == attempt.task }
         }
+    }
+
+    private fun giveUp(over: List<Attempt>) =
         over.forEach {
-            log.info("{} try {} is no longer on {}", it.task, it.number, it.machine)
+            log.debug("{} try {} is no longer on {}", it.task, it.number, it.machine)
             gone(it)
         }
-    }
 
     /** The machine is proven gone: a return call was answered, and with it all that ran there is gone. */
     fun machineGone(name: String) {
-        attempts[name]?.toList()?.forEach(::gone)
+        ledger.on(name).toList().forEach(::gone)
+        parts.forEach { (id, part) ->
+            part.machines.remove(name)
+            orders.forget(id, name)
+        }
         registry.remove(name)
         addresses.remove(name)
-        awaited.remove(name)
+        strange.remove(name)
+        faults.remove(name)
         retired += name
-        parts.values.forEach { it.machines.remove(name) }
+        takeover.gone(name)
         checkComplete()
     }
 
+    private var opened = false
+
     private fun checkComplete() {
-        if (complete) return
-        awaited.values.removeIf { accounted(it) }
-        if (awaited.isNotEmpty()) return
-        complete = true
+        takeover.check()
+        if (opened || !complete) return
+        opened = true
         log.info("every machine is accounted for: {} jobs are open", jobs.size)
         jobs.values.forEach { if (!it.placeable) it.open() }
+        worthAsking = true
     }
 
-    private fun accounted(machine: Inherited): Boolean {
-        val part = parts[machine.zone] ?: return false
-        val view = part.machines[machine.name]
-        return (view != null && (view.settled || view.lost)) || part.ageUs > withDrift(leaseUs) + UNHEARD_MARGIN_US
-    }
-
-    /**
-     * A few machines that keep all older jobs waiting because nothing is heard of them although their part has an owner:
-     * giving them back is the fastest proof that nothing runs on them. Where many are silent, the network is at fault.
-     */
-    fun blockers(): List<String> {
-        if (complete || awaited.size > maxOf(MOST_FENCED, registry.size / 8)) return emptyList()
-        return awaited.values.filter { (parts[it.zone]?.ageUs ?: 0) > FENCE_US }.map { it.name }
-    }
+    fun blockers() = takeover.blockers(registry.size)
 
     fun tick(now: Long) {
-        // Time passes for parts that have told their age; a machine may become accounted for by it.
-        checkComplete()
+        if (now - sweptUs >= SWEEP_US) sweep(now)
         val current = round
         if (current != null && (current.heardFrom(reachable(now)) || now >= current.deadlineUs)) decide(current, now)
         if (round == null && now - askedUs >= if (worthAsking) timers.paceUs else timers.retryUs) ask(now)
-        if (now - flushedUs >= timers.flushUs) flushedUs = now
-        for (job in jobs.values) writeDone(job, now == flushedUs)
-        for (zone in zones) {
-            if (zone in poked || now - (sentUs[zone] ?: Long.MIN_VALUE / 2) >= HEARTBEAT_US) send(zone, now)
+        record(now)
+        for (id in parting.parts) {
+            val waitedUs = now - (sentUs[id] ?: Long.MIN_VALUE / 2)
+            if ((id in poked && waitedUs >= ACK_US) || waitedUs >= HEARTBEAT_US) send(id, now)
         }
-        poked.clear()
+    }
+
+    /** Time passes for parts that have told their age, and a frame that was lost leaves no trace but this. */
+    private fun sweep(now: Long) {
+        sweptUs = now
+        checkComplete()
+        giveUp(ledger.all().filter { attempt -> parts[attempt.part]?.let { absent(attempt, it) } == true }.toList())
+        cores = parts.values.sumOf { part -> part.machines.values.sumOf { if (it.lost) 0.0 else capacityOf(it.build)?.cores ?: 0.0 } }
     }
 
     /**
-     * Machines on which something still runs whose job has no record any more (cancelled under an earlier leader, so that
-     * nobody knows its team), and machines of which nothing is known yet: each counts at its full size against every team
-     * until it is known what runs there.
+     * What may be in use by nobody knows whom: on machines that run something whose job has no record, and on those of which
+     * nothing is known yet. Each counts at its full size against every team.
      */
-    private fun countStrangers() {
-        var cores = 0.0
-        var cards = 0.0
-        for (part in parts.values) {
-            for (view in part.machines.values) {
-                if (view.lost || view.tasks.none { it.phase != TaskPhase.ENDED && it.task.substringBefore('/') !in jobs }) continue
-                cores += capacityOf(view.build)?.cores ?: Double.MAX_VALUE
-                cards += capacityOf(view.build)?.cards ?: Double.MAX_VALUE
-            }
-        }
-        for (machine in awaited.values) {
-            cores += capacityOf(machine.build)?.cores ?: Double.MAX_VALUE
-            cards += capacityOf(machine.build)?.cards ?: Double.MAX_VALUE
+    private fun strangers(): Shape {
+        val unknown = takeover.unknown(capacityOf)
+        var cores = unknown.cores
+        var cards = unknown.cards
+        for (build in strange.values) {
+            cores += capacityOf(build)?.cores ?: Double.MAX_VALUE
+            cards += capacityOf(build)?.cards ?: Double.MAX_VALUE
         }
-        strangers = Shape(cores, cards, 0.0)
+        return Shape(cores, cards, 0.0)
     }
 
     private fun reachable(now: Long) = parts.filterValues { now - it.heardUs < REACHABLE_US }.keys
@@ -391,65 +365,34 @@
     private fun ask(now: Long) {
         worthAsking = false
         askedUs = now
-        countStrangers()
-        val planned = HashMap<String, Double>()
-        val plannedCards = HashMap<String, Double>()
+        val strangers = strangers()
+        val planned = HashMap<String, Shape>()
         val asks = ArrayList<Pair<Ask, Job>>()
-        val waiting =
-            jobs.values.filter { it.phase == JobPhase.OPEN && it.placeable && !it.pending.isEmpty && now >= it.notBeforeUs }
-        for (job in ordered(waiting, now)) {
+        for (job in queue.order(jobs.values, { cores }, now)) {
             if (asks.size >= timers.askJobs) break
             val spec = job.spec
-            val count = minOf(job.pending.size, timers.askTasks, allowance(spec.team, spec.shape, planned, plannedCards))
+            val before = planned[spec.team] ?: Ledger.NONE
+            val count = minOf(job.pending.size, timers.askTasks, ledger.allowance(spec.team, spec.shape, strangers, before))
             if (count <= 0) continue
-            planned.merge(spec.team, count * spec.shape.cores, Double::plus)
-            plannedCards.merge(spec.team, count * spec.shape.cards, Double::plus)
-            val zone =
-                spec.zone ?: if (spec.sameZone) {
-                    job.alive.values
-                        .firstOrNull()
-                        ?.zone
-                } else {
-                    null
-                }
-            asks += Ask(++stampCounter, spec.id, spec.facts, count, spec.builds, zone, spec.spot) to job
+            planned[spec.team] = before - spec.shape * -count
+            asks += Ask(++stampCounter, spec.id, spec.facts, count, spec.builds, zoneFor(job), spec.spot, warmFirst(job)) to job
         }
         if (asks.isEmpty()) return
         round = Round(asks, now, timers.alphaUs)
         val frames = asks.map { it.first }
-        zones.forEach { send(it, now, asks = frames) }
+        parting.parts.forEach { send(it, now, asks = frames) }
     }
 
-    /** The queue in the order of [Promises]. A job's last task must start by then, so that much of its work must be done. */
-    private fun ordered(
-        waiting: List<Job>,
-        now: Long,
-    ): List<Job> {
-        val cores = parts.values.sumOf { part -> part.machines.values.sumOf { if (it.lost) 0.0 else capacityOf(it.build)?.cores ?: 0.0 } }
-        val guaranteed = goals.guaranteed(jobs.values, teams)
-        val rows =
-            waiting.map { job ->
-                val runUs = runTimes.expectedUs(job.spec)
-                val share = job.pending.size / classSizes.getValue(job.spec.kind).mean
-                val steps =
-                    goals.promises(job, runUs, now, job in guaranteed).map { Step(it.startByUs + runUs, if (it.byTask) share else 1.0) }
-                Waiting(job, job.pending.size * job.spec.shape.cores * runUs, steps, runUs)
-            }
-        return Promises.order(rows, maxOf(cores, 1.0) * FILL, now)
+    /** A job whose tasks must share a zone stays in the one it is in. */
+    private fun zoneFor(job: Job): String? {
+        if (job.spec.zone != null || !job.spec.sameZone) return job.spec.zone
+        return job.alive.values
+            .firstOrNull()
+            ?.let { parting.zone(it.part) }
     }
 
-    /** How many tasks of [shape] a team may still start. Limits count all that may be running (invariant 11). */
-    private fun allowance(
-        team: String,
-        shape: Shape,
-        planned: Map<String, Double>,
-        plannedCards: Map<String, Double>,
-    ): Int {
-        val limit = teams[team] ?: return 0
-        val cores = limit.coresMax - strangers.cores - (usedCores[team] ?: 0.0) - (planned[team] ?: 0.0)
-        val cards = limit.cardsMax - strangers.cards - (usedCards[team] ?: 0.0) - (plannedCards[team] ?: 0.0)
-        return Shape(cores, cards, Double.POSITIVE_INFINITY).fits(shape)
-    }
+    /** A fetch keeps a machine's room from being used at all: worth avoiding where it isn't short beside the run. */
+    private fun warmFirst(job: Job) = job.spec.imageGb * FETCH_US_PER_GB * 20 > runTimes.expectedUs(job.spec)
 
     /** Keeps the roomiest of what is held, starts tasks there, and lets go of the rest. */
     private fun decide(
@@ -457,184 +400,249 @@
         now: Long,
     ) {
         round = null
-        countStrangers()
+        val strangers = strangers()
         val starts = HashMap<String, ArrayList<StartOrder>>()
         val sent = ArrayList<Attempt>()
         for ((ask, job) in current.asks) {
             if (job.phase != JobPhase.OPEN) continue
             val spec = job.spec
-            val most = minOf(ask.count, allowance(spec.team, spec.shape, emptyMap(), emptyMap()))
-            val offers =
-                current.of(ask.stamp).mapValues { (_, held) ->
-                    held.filter { it.machine in registry && it.machine !in closed }
-                }
-            for (place in Choice.roomiest(offers, most, zoneRoom(job, offers))) {
+            val most = minOf(ask.count, ledger.allowance(spec.team, spec.shape, strangers))
+            val offers = current.of(ask.stamp).mapValues { (_, held) -> held.filter { it.machine in registry && it.machine !in closed } }
+            for (place in Choice.roomiest(offers, most, ::zoneOf, ask.warmFirst, zoneRoom(job, offers))) {
                 val index = job.next()
                 if (index < 0) break
-                val attempt = Attempt(job, index, newAttempt(), place.machine, place.zone)
-                attempt.partTerm = parts.getValue(place.zone).term
-                track(attempt)
+                val attempt = Attempt(job, index, newAttempt(), place.machine, place.part)
+                attempt.partTerm = parts.getValue(place.part).term
+                // Not told by any frame so far: its own is sent below.
+                attempt.seq = Long.MAX_VALUE
+                ledger.track(attempt)
                 sent += attempt
-                starts.getOrPut(place.zone) { ArrayList() } +=
-                    StartOrder(ask.stamp, place.machine, attempt.task, attempt.number, spec.facts)
+                starts.getOrPut(place.part) { ArrayList() } += StartOrder(ask.stamp, place.machine, index, attempt.number)
             }
         }
         val releases = current.asks.map { it.first.stamp }
-        for (zone in zones) {
-            val here = starts[zone] ?: emptyList<StartOrder>()
+        for (id in parting.parts) {
+            val here = starts[id] ?: emptyList<StartOrder>()
             val chosen = here.mapTo(HashSet()) { it.stamp }
-            val seq = send(zone, now, starts = here, releases = releases.filter { it !in chosen })
-            sent.forEach { if (it.zone == zone) it.seq = seq }
+            val seq = send(id, now, starts = here, releases = releases.filter { it !in chosen })
+            sent.forEach { if (it.part == id) it.seq = seq }
         }
         if (sent.isNotEmpty()) worthAsking = true
     }
 
+    private fun zoneOf(part: String) = parting.zone(part) ?: part
+
     /** How many more tasks of the job each zone may get. */
     private fun zoneRoom(
         job: Job,
-        offers: Map<String, List<lichenstage.cluster.Held>>,
+        offers: Map<String, List<Held>>,
     ): (String) -> Int {
         val spec = job.spec
+        if (!spec.sameZone && !spec.spread) return { Int.MAX_VALUE }
         val there =
             job.alive.values
-                .groupingBy { it.zone }
+                .groupingBy { zoneOf(it.part) }
                 .eachCount()
         if (spec.sameZone) {
-            val zone = there.keys.firstOrNull() ?: Choice.bestZone(offers)
+            val zone = there.keys.firstOrNull() ?: Choice.bestZone(offers, ::zoneOf)
             return { if (it == zone && there.keys.all { other -> other == zone }) Int.MAX_VALUE else 0 }
         }
-        if (spec.spread) return { (spec.tasks + 1) / 2 - (there[it] ?: 0) }
-        return { Int.MAX_VALUE }
+        return { (spec.tasks + 1) / 2 - (there[it] ?: 0) }
     }
 
     /** Unique and rising over leaders, with no write: the term is the high part (invariant 7). */
     private fun newAttempt() = (term shl 32) + ++attemptCounter
 
-    private fun writeDone(
-        job: Job,
-        flush: Boolean,
-    ) {
-        if (job.phase != JobPhase.OPEN || job.writing) return
-        val last = job.complete
-        if (!last && (!flush || job.done.cardinality() == job.durable.cardinality())) return
-        val covers = job.done.clone() as BitSet
-        val chunks =
-            if (last) {
-                emptyList()
-            } else {
-                val news = (covers.clone() as BitSet).apply { andNot(job.durable) }
-                (0 until DoneRanges.chunks(job.spec.tasks)).filter {
-                    val next = news.nextSetBit(it * DoneRanges.CHUNK)
-                    next >= 0 && next < (it + 1) * DoneRanges.CHUNK
-                }
-            }
-        job.writing = true
-        emit(Effect.WriteDone(job, covers, chunks, last))
+    /**
+     * Has recorded what is done: the end of a job at once, ranges in one batch after the other, the oldest first. Ranges take
+     * what writes the rest leaves, so that the more jobs there are, the longer each waits.
+     */
+    private fun record(now: Long) {
+        if (unrecorded.isEmpty()) return
+        for (job in unrecorded.keys.filter { it.complete && !it.finishUnderWay }) {
+            job.finishUnderWay = true
+            emit(Effect.Finish(job))
+        }
+        if (rangesUnderWay) return
+        val news = ArrayList<DoneNews>()
+        var writes = 0
+        for ((job, sinceUs) in unrecorded) {
+            if (now - sinceUs < timers.flushUs || writes >= batch) break
+            if (job.complete) continue
+            val covers = job.done.clone() as BitSet
+            val chunks = changedChunks(job, covers)
+            if (writes + chunks.size > batch && news.isNotEmpty()) break
+            writes += chunks.size
+            news += DoneNews(job, covers, chunks)
+        }
+        if (news.isEmpty()) return
+        rangesUnderWay = true
+        news.forEach {
+            unrecorded.remove(it.job)
+            it.job.rangesUnderWay = true
+        }
+        emit(Effect.WriteRanges(news))
     }
 
-    /** The record holds [covers]; workers may now forget these tasks (invariant 9). */
-    fun doneWritten(
+    private fun changedChunks(
         job: Job,
         covers: BitSet,
-        last: Boolean,
+    ): List<Int> {
+        val news = (covers.clone() as BitSet).apply { andNot(job.durable) }
+        return (0 until DoneRanges.chunks(job.spec.tasks)).filter {
+            val next = news.nextSetBit(it * DoneRanges.CHUNK)
+            next >= 0 && next < (it + 1) * DoneRanges.CHUNK
+        }
+    }
+
+    /** The record holds what [news] covers; workers may now forget these tasks (invariant 9). */
+    fun rangesWritten(
+        news: List<DoneNews>,
+        ok: Boolean,
+        now: Long,
     ) {
-        job.writing = false
-        job.durable.or(covers)
-        zones.forEach { poked += it }
-        if (last) {
-            log.info("{} is done", job.spec.id)
-            job.phase = JobPhase.CLOSED
-            forgetIfOver(job)
+        rangesUnderWay = false
+        for ((job, covers) in news) {
+            job.rangesUnderWay = false
+            if (ok) job.durable.or(covers)
+            if (job.phase != JobPhase.OPEN) continue
+            if (job.done.cardinality() != job.durable.cardinality()) unrecorded.putIfAbsent(job, now)
+            if (ok) review(job)
         }
     }
 
-    fun doneNotWritten(job: Job) {
-        job.writing = false
+    fun finished(job: Job) {
+        log.info("{} is done", job.spec.id)
+        job.finishUnderWay = false
+        unrecorded.remove(job)
+        job.phase = JobPhase.CLOSED
+        review(job)
+        forgetIfOver(job)
+    }
+
+    fun notFinished(job: Job) {
+        job.finishUnderWay = false
+    }
+
+    /** What machines need to do changes with the job. */
+    private fun review(job: Job) {
+        for (machine in job.listedOn) {
+            for ((id, part) in parts) {
+                val view = part.machines[machine] ?: continue
+                collect(id, view)
+            }
+        }
     }
 
-    /** Sends a frame to a part, with all stops and clears that its machines still need. Returns its number. */
+    /** Sends a frame to a part, with the stops and clears that its machines still need. Returns its number. */
     private fun send(
-        zone: String,
+        id: String,
         now: Long,
         asks: List<Ask> = emptyList(),
         starts: List<StartOrder> = emptyList(),
         releases: List<Long> = emptyList(),
     ): Long {
-        val seq = (seqs[zone] ?: 0) + 1
-        seqs[zone] = seq
-        sentUs[zone] = now
-        val part = parts[zone]
-        val stops = ArrayList<AttemptOrder>()
-        val clears = ArrayList<AttemptOrder>()
-        val informed = informed(zone, part, seq)
-        part?.machines?.values?.forEach { view -> if (view.settled && !view.lost) collect(view, stops, clears) }
-        emit(
-            Effect.Send(
-                zone,
-                LeaderFrame(
-                    zone = zone,
-                    term = term,
-                    seq = seq,
-                    ackTerm = part?.term ?: 0,
-                    ackVersion = part?.version ?: 0,
-                    facts = if (informed) emptyMap() else jobs.values.associate { it.spec.id to it.spec.facts },
-                    addresses = if (informed) emptyMap() else addresses.filterKeys { registry[it] == zone },
-                    asks = asks,
-                    starts = starts,
-                    releases = releases,
-                    stops = stops,
-                    clears = clears,
-                    closed = closed + (part?.machines?.keys?.filter { it !in registry } ?: emptyList()),
-                ),
-            ),
-        )
+        val seq = (seqs[id] ?: 0) + 1
+        seqs[id] = seq
+        sentUs[id] = now
+        poked -= id
+        val part = parts[id]
+        val inform = !informed(id, part, seq)
+        val (stops, clears) = orders.take(id, now)
+        val frame =
+            LeaderFrame(
+                part = id,
+                term = term,
+                seq = seq,
+                ackTerm = part?.term ?: 0,
+                ackVersion = part?.version ?: 0,
+                facts = if (inform) jobs.values.associate { it.spec.id to it.spec.facts } else emptyMap(),
+                addresses = if (inform) addresses.filterKeys { registry[it] == id } else emptyMap(),
+                asks = asks,
+                starts = starts,
+                releases = releases,
+                stops = stops,
+                clears = clears,
+                closed = closedNews(id, part, now),
+            )
+        emit(Effect.Send(id, frame))
         return seq
     }
 
     /** What is known of jobs and machines goes to a part until it has shown that it got it; later jobs come with requests. */
     private fun informed(
-        zone: String,
+        id: String,
         part: PartState?,
         seq: Long,
     ): Boolean {
-        val first = factsSeq.getOrPut("$zone ${part?.term}") { seq }
-        return part != null && part.seq >= first
+        val first = informedBy.getOrPut("$id ${part?.term}") { seq }
+        return part != null && part.heardSeq >= first
     }
 
+    /** The machines of a part that get no tasks, where that has changed or was told long ago. */
+    private fun closedNews(
+        id: String,
+        part: PartState?,
+        now: Long,
+    ): Set<String>? {
+        if (part == null) return null
+        val due = now - (closedToldUs[id] ?: Long.MIN_VALUE / 2)
+        if (due < CLOSED_US) return null
+        val here = part.machines.keys.filterTo(HashSet()) { it in closed || it !in registry }
+        if (here == closedTold[id] && due < CLOSED_AGAIN_US) return null
+        closedTold[id] = here
+        closedToldUs[id] = now
+        return here
+    }
+
+    /** Finds what a machine still has to stop and to clear, and whether something on it is a stranger's. */
     private fun collect(
+        id: String,
         view: MachineView,
-        stops: MutableList<AttemptOrder>,
-        clears: MutableList<AttemptOrder>,
     ) {
-        for (task in view.tasks) {
-            val job = jobs[task.task.substringBefore('/')]
-            val index = task.task.substringAfter('/').toIntOrNull() ?: -1
-            val wanted = job != null && job.phase != JobPhase.CLOSED
-            if (task.phase == TaskPhase.ENDED) {
-                val keep = wanted && task.cause == "done" && !job!!.durable.get(index)
-                if (!keep) clears += AttemptOrder(view.name, task.task, task.attempt)
-            } else {
-                val current = wanted && job!!.alive.get(index)?.let { it.number == task.attempt && it.machine == view.name } == true
-                if (!current) stops += AttemptOrder(view.name, task.task, task.attempt)
+        val stops = ArrayList<AttemptOrder>()
+        val clears = ArrayList<AttemptOrder>()
+        var stranger = false
+        if (!view.lost) {
+            for (task in view.tasks) {
+                val job = jobs[task.task.substringBefore('/')]
+                val index = task.task.substringAfter('/').toIntOrNull() ?: -1
+                val wanted = job != null && job.phase != JobPhase.CLOSED
+                if (task.phase == TaskPhase.ENDED) {
+                    val keep = wanted && task.cause == "done" && !job!!.durable.get(index)
+                    if (!keep) clears += AttemptOrder(view.name, task.task, task.attempt)
+                } else {
+                    if (job == null) stranger = true
+                    val current = wanted && job!!.alive.get(index)?.let { it.number == task.attempt && it.machine == view.name } == true
+                    if (!current) stops += AttemptOrder(view.name, task.task, task.attempt)
+                }
             }
         }
+        if (stranger) strange[view.name] = view.build else strange.remove(view.name)
+        if (!view.settled) {
+            stops.clear()
+            clears.clear()
+        }
+        if (orders.set(id, view.name, stops, clears)) poked += id
     }
 
     /** For display: done and running tasks of each open job. */
     fun counts(): Map<String, List<Int>> =
         jobs.values.filter { it.phase != JobPhase.CLOSED }.associate { job ->
-            job.spec.id to listOf(job.done.cardinality(), job.alive.values.count { it.phase != TaskPhase.PENDING })
+            job.spec.id to listOf(job.spec.tasks - job.left, job.alive.values.count { it.phase != TaskPhase.PENDING })
         }
 
-    fun attemptsOn(machine: String): Collection<Attempt> = attempts[machine] ?: emptyList()
+    fun attemptsOn(machine: String): Collection<Attempt> = ledger.on(machine)
 
     private companion object {
-        /** The part of the machines' cores that tasks fill. */
-        const val FILL = 0.85
         const val HEARTBEAT_US = 800 * MILLI
+        const val ACK_US = 100 * MILLI
+        const val SWEEP_US = SECOND
         const val REACHABLE_US = 2500 * MILLI
-        const val FENCE_US = 6 * SECOND
-        const val MOST_FENCED = 2
-        const val UNHEARD_MARGIN_US = 2 * SECOND
+        const val CLOSED_US = 300 * MILLI
+        const val CLOSED_AGAIN_US = 4 * SECOND
+
+        /** A rough allowance for fetches that share a link. */
+        const val FETCH_US_PER_GB = 2 * SECOND
     }
 }
--- /dev/null
+++ b/src/main/kotlin/lichenstage/placement/Orders.kt
@@ -0,0 +1,78 @@
+package lichenstage.placement
+
+import lichenstage.app.SECOND
+import lichenstage.cluster.AttemptOrder
+
+/**
+ * The stops and clears that machines still need. Each goes out once, and again after a while as long as the machine has not
+ * shown that it is done: frames get lost.
+ */
+class Orders {
+    private class Due(
+        val order: AttemptOrder,
+        val stop: Boolean,
+    ) {
+        var sentUs = Long.MIN_VALUE / 2
+    }
+
+    private val parts = HashMap<String, LinkedHashMap<String, List<Due>>>()
+
+    /** What [machine] needs now. True where something of it is new. */
+    fun set(
+        part: String,
+        machine: String,
+        stops: List<AttemptOrder>,
+        clears: List<AttemptOrder>,
+    ): Boolean {
+        val machines = parts.getOrPut(part) { LinkedHashMap() }
+        if (stops.isEmpty() && clears.isEmpty()) {
+            machines.remove(machine)
+            return false
+        }
+        val before = machines[machine].orEmpty()
+        var news = false
+
+        fun due(
+            order: AttemptOrder,
+            stop: Boolean,
+        ) = before.firstOrNull { it.stop == stop && it.order == order } ?: Due(order, stop).also { news = true }
+        machines[machine] = stops.map { due(it, true) } + clears.map { due(it, false) }
+        return news
+    }
+
+    fun forget(
+        part: String,
+        machine: String,
+    ) {
+        parts[part]?.remove(machine)
+    }
+
+    /** A new owner of the part has to be told everything. */
+    fun forget(part: String) {
+        parts.remove(part)
+    }
+
+    /** The stops and the clears to send to a part now. */
+    fun take(
+        part: String,
+        now: Long,
+    ): Pair<List<AttemptOrder>, List<AttemptOrder>> {
+        val stops = ArrayList<AttemptOrder>()
+        val clears = ArrayList<AttemptOrder>()
+        for (machine in parts[part]?.values.orEmpty()) {
+            for (due in machine) {
+                if (now - due.sentUs < if (due.stop) STOP_AGAIN_US else CLEAR_AGAIN_US) continue
+                if (stops.size + clears.size >= MOST) return stops to clears
+                due.sentUs = now
+                (if (due.stop) stops else clears) += due.order
+            }
+        }
+        return stops to clears
+    }
+
+    private companion object {
+        const val STOP_AGAIN_US = 2 * SECOND
+        const val CLEAR_AGAIN_US = 6 * SECOND
+        const val MOST = 400
+    }
+}
--- a/src/main/kotlin/lichenstage/placement/Promises.kt
+++ b/src/main/kotlin/lichenstage/placement/Promises.kt
@@ -1,5 +1,7 @@
 package lichenstage.placement
 
+import java.util.PriorityQueue
+
 /** A promise as the plan sees it: when its work must be done, and what keeping it counts, in jobs of its class. */
 data class Step(
     val dueUs: Long,
@@ -60,14 +62,13 @@
         now: Long,
     ): List<Waiting> {
         val off = ArrayList<Waiting>()
-        val taken = ArrayList<Waiting>()
+        val taken = PriorityQueue(compareBy<Waiting> { it.job.spec.priority }.thenBy { it.yield })
         var work = 0.0
         for (next in planned) {
             taken += next
             work += next.work
             while (taken.isNotEmpty() && now + work / capacity > next.due) {
-                val victim = taken.minWith(compareBy<Waiting> { it.job.spec.priority }.thenBy { it.yield })
-                taken.remove(victim)
+                val victim = taken.poll()
                 work -= victim.work
                 off += victim
                 if (victim === next) break
--- /dev/null
+++ b/src/main/kotlin/lichenstage/placement/Queue.kt
@@ -0,0 +1,99 @@
+package lichenstage.placement
+
+import lichenstage.app.MILLI
+import lichenstage.app.SECOND
+import lichenstage.app.Team
+
+/**
+ * The order in which waiting jobs are placed: that of [Promises], and beside it the ones that have waited long.
+ *
+ * Guards against starving: what no promise is left for would come last for as long as more is asked than can be done. Every
+ * second place goes to the job that has waited longest beyond [agedUs], counted from its record, so that no change of leader
+ * makes it young again.
+ */
+class Queue(
+    private val goals: Goals,
+    private val teams: Map<String, Team>,
+    private val runTimes: RunTimes,
+    private val agedUs: Long = AGED_US,
+) {
+    private class Mean {
+        private var sum = 0.0
+        private var count = 0
+        val mean get() = sum / count
+
+        fun add(value: Int) {
+            sum += value
+            count++
+        }
+    }
+
+    private val sizes = HashMap<String, Mean>()
+    private var planned = emptyList<Job>()
+    private var plannedUs = Long.MIN_VALUE / 2
+    private var stale = true
+
+    fun added(job: Job) {
+        sizes.getOrPut(job.spec.kind) { Mean() }.add(job.spec.tasks)
+        stale = true
+    }
+
+    /** Jobs with something to place, first the one that is to be placed first. Planned anew now and then, not for every request. */
+    fun order(
+        jobs: Collection<Job>,
+        cores: () -> Double,
+        now: Long,
+    ): List<Job> {
+        if (now - plannedUs >= (if (stale) FRESH_US else PLAN_US)) {
+            plannedUs = now
+            stale = false
+            planned = plan(jobs, cores(), now)
+        }
+        return planned.filter { waits(it, now) }
+    }
+
+    private fun waits(
+        job: Job,
+        now: Long,
+    ) = job.phase == JobPhase.OPEN && job.placeable && !job.pending.isEmpty && now >= job.notBeforeUs
+
+    private fun plan(
+        jobs: Collection<Job>,
+        cores: Double,
+        now: Long,
+    ): List<Job> {
+        val guaranteed = goals.guaranteed(jobs, teams)
+        val waiting = jobs.filter { it.phase == JobPhase.OPEN && it.placeable && !it.pending.isEmpty }
+        val rows =
+            waiting.map { job ->
+                val runUs = runTimes.expectedUs(job.spec)
+                val share = job.pending.size / sizes.getValue(job.spec.kind).mean
+                val steps =
+                    goals.promises(job, runUs, now, job in guaranteed).map { Step(it.startByUs + runUs, if (it.byTask) share else 1.0) }
+                Waiting(job, job.pending.size * job.spec.shape.cores * runUs, steps, runUs)
+            }
+        val ordered = Promises.order(rows, maxOf(cores, 1.0) * FILL, now)
+        val aged = waiting.filter { now - it.arrivedUs > agedUs }.sortedBy { it.arrivedUs }
+        return if (aged.isEmpty()) ordered else interleaved(aged, ordered)
+    }
+
+    private fun interleaved(
+        aged: List<Job>,
+        ordered: List<Job>,
+    ): List<Job> {
+        val result = LinkedHashSet<Job>()
+        for (i in ordered.indices) {
+            if (i < aged.size) result += aged[i]
+            result += ordered[i]
+        }
+        return result.toList()
+    }
+
+    private companion object {
+        /** The part of the machines' cores that tasks fill. */
+        const val FILL = 0.85
+        const val AGED_US = 120 * SECOND
+        const val FRESH_US = 50 * MILLI
+        const val PLAN_US = 300 * MILLI
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/lichenstage/placement/Registry.kt
@@ -0,0 +1,109 @@
+package lichenstage.placement
+
+import io.vertx.core.json.JsonArray
+import io.vertx.core.json.JsonObject
+import lichenstage.state.Change
+import lichenstage.state.Entry
+
+/** A machine as the state service holds it. */
+data class Registered(
+    val name: String,
+    val build: String,
+    val zone: String,
+    val spot: Boolean,
+    val address: String,
+)
+
+/** One key of the registry as it is to be written; without machines it is deleted. */
+data class RegistryPage(
+    val key: String,
+    val machines: List<Registered>,
+) {
+    val change get() = if (machines.isEmpty()) Change.Delete(key) else Change.Put(key, Registry.encode(machines))
+}
+
+/**
+ * The durable list of machines, several to a key: hundreds come and go within seconds, and the changes that the state service
+ * takes in a second are few. Only the leader writes it, under its own guard.
+ */
+class Registry(
+    valueBytes: Int,
+) {
+    private val perPage = (valueBytes / MACHINE_BYTES).coerceIn(1, MOST_ON_PAGE)
+    private val pages = HashMap<String, LinkedHashMap<String, Registered>>()
+    private val pageOf = HashMap<String, String>()
+    private val dirty = LinkedHashSet<String>()
+
+    val size get() = pageOf.size
+
+    operator fun contains(name: String) = pageOf.containsKey(name)
+
+    /** Takes over what an earlier leader wrote. */
+    fun load(entry: Entry): List<Registered> {
+        val machines = decode(entry.value)
+        pages[entry.key] = machines.associateByTo(LinkedHashMap()) { it.name }
+        machines.forEach { pageOf[it.name] = entry.key }
+        return machines
+    }
+
+    fun add(machine: Registered) {
+        val key = pages.entries.firstOrNull { it.value.size < perPage }?.key ?: fresh()
+        pages.getValue(key)[machine.name] = machine
+        pageOf[machine.name] = key
+        dirty += key
+    }
+
+    private fun fresh(): String {
+        val key = PREFIX + generateSequence(0) { it + 1 }.first { PREFIX + it !in pages }
+        pages[key] = LinkedHashMap()
+        return key
+    }
+
+    /** Forgets machines that are proven gone. */
+    fun remove(names: Collection<String>) {
+        for (name in names) {
+            val key = pageOf.remove(name) ?: continue
+            pages.getValue(key).remove(name)
+            dirty += key
+        }
+    }
+
+    /** Up to [most] pages that differ from what the state service holds. They count as written unless it is said otherwise. */
+    fun due(most: Int): List<RegistryPage> {
+        val keys = dirty.take(most)
+        dirty -= keys.toSet()
+        return keys.map { key -> RegistryPage(key, pages.getValue(key).values.toList()) }
+    }
+
+    fun notWritten(written: List<RegistryPage>) {
+        dirty += written.map { it.key }
+    }
+
+    companion object {
+        const val PREFIX = "m/"
+
+        /** What one machine takes of a value at the most, with names of usual length. */
+        private const val MACHINE_BYTES = 120
+        private const val MOST_ON_PAGE = 100
+
+        fun encode(machines: List<Registered>): JsonObject =
+            JsonObject().put(
+                "machines",
+                JsonArray(
+                    machines.map {
+                        JsonArray()
+                            .add(it.name)
+                            .add(it.build)
+                            .add(it.zone)
+                            .add(it.spot)
+                            .add(it.address)
+                    },
+                ),
+            )
+
+        fun decode(value: JsonObject): List<Registered> =
+            value.getJsonArray("machines").map { it as JsonArray }.map {
+                Registered(it.getString(0), it.getString(1), it.getString(2), it.getBoolean(3), it.getString(4))
+            }
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/lichenstage/placement/Takeover.kt
@@ -0,0 +1,77 @@
+package lichenstage.placement
+
+import lichenstage.app.SECOND
+import lichenstage.app.withDrift
+import lichenstage.cluster.Shape
+
+/** A machine that was registered before a leader's term. */
+data class Inherited(
+    val name: String,
+    val part: String,
+    val build: String,
+    val address: String?,
+)
+
+/**
+ * The machines that may hold tasks of an earlier leader: what was registered when this term began. Until each is accounted for,
+ * anything may run on it (invariant 5). A machine without a record is never waited for: a late copy of a report may name one.
+ */
+class Takeover(
+    private val leaseUs: Long,
+    private val partOf: (String) -> PartState?,
+) {
+    private val awaited = HashMap<String, Inherited>()
+
+    val complete get() = awaited.isEmpty()
+
+    fun await(machine: Inherited) {
+        awaited[machine.name] = machine
+    }
+
+    fun gone(name: String) {
+        awaited.remove(name)
+    }
+
+    /** True where this was the last. */
+    fun check(): Boolean {
+        if (awaited.isEmpty()) return false
+        awaited.values.removeIf(::accounted)
+        return awaited.isEmpty()
+    }
+
+    /**
+     * One that its part has heard counts only once it has shown the token or its lease has run out since its last answer; one
+     * that was never heard, once the part is older than a lease.
+     */
+    private fun accounted(machine: Inherited): Boolean {
+        val part = partOf(machine.part) ?: return false
+        val view = part.machines[machine.name]
+        return if (view == null) part.ageUs > withDrift(leaseUs) + UNHEARD_MARGIN_US else view.settled || view.lost
+    }
+
+    /**
+     * A few machines that keep all older jobs waiting because nothing is heard of them although their part has an owner:
+     * giving them back is the fastest proof that nothing runs on them. Where many are silent, the network is at fault.
+     */
+    fun blockers(registered: Int): List<String> {
+        if (awaited.isEmpty() || awaited.size > maxOf(MOST_FENCED, registered / 50)) return emptyList()
+        return awaited.values.filter { (partOf(it.part)?.ageUs ?: 0) > FENCE_US }.map { it.name }
+    }
+
+    /** What may be in use on the machines of which nothing is known yet: each counts at its full size. */
+    fun unknown(capacityOf: (String) -> Shape?): Shape {
+        var cores = 0.0
+        var cards = 0.0
+        for (machine in awaited.values) {
+            cores += capacityOf(machine.build)?.cores ?: Double.MAX_VALUE
+            cards += capacityOf(machine.build)?.cards ?: Double.MAX_VALUE
+        }
+        return Shape(cores, cards, 0.0)
+    }
+
+    companion object {
+        const val UNHEARD_MARGIN_US = 2 * SECOND
+        private const val FENCE_US = 6 * SECOND
+        private const val MOST_FENCED = 2
+    }
+}
--- a/src/main/kotlin/lichenstage/state/StateClient.kt
+++ b/src/main/kotlin/lichenstage/state/StateClient.kt
@@ -37,7 +37,10 @@
         val revision: Long,
     ) : Committed
 
-    data object Refused : Committed
+    /** A condition did not hold; [failed] names keys of which that is known. */
+    data class Refused(
+        val failed: List<String> = emptyList(),
+    ) : Committed
 
     /** The lease of a put has ended. */
     data object NoLease : Committed
@@ -76,22 +79,28 @@
     val revision: Long,
 )
 
-/** Speaks to the state service. Nothing here decides; unclear outcomes are told as such. */
+/**
+ * Speaks to the state service. Nothing here decides; unclear outcomes are told as such.
+ *
+ * The service's limits hold for all controllers together: each keeps to a share of them, [writeShare] of the changes (the leader
+ * needs more than the others) and an equal part of the requests.
+ */
 class StateClient(
     vertx: Vertx,
     address: Address,
     clock: Clock,
-    share: Double,
+    controllers: Int,
     rps: Double,
     writeRps: Double,
+    writeShare: () -> Double,
 ) {
     private val http = JsonHttp(vertx, address, connections = 24, queue = 2000)
 
     /** Watches stay open for long: they have connections of their own, and so have leases, so that nothing holds up a renewal. */
     private val watches = JsonHttp(vertx, address, connections = 6, queue = 6)
     private val leases = JsonHttp(vertx, address, connections = 3, queue = 3)
-    private val reads = RateBudget(clock, rps * share)
-    private val writes = RateBudget(clock, writeRps * share)
+    private val reads = RateBudget(clock) { rps / controllers }
+    private val writes = RateBudget(clock) { writeRps * writeShare() }
 
     suspend fun get(
         key: String,
@@ -111,7 +120,7 @@
         val entries = ArrayList<Entry>()
         var revision = -1L
         while (true) {
-            reads.take()
+            reads.take(urgent = false)
             val since = if (entries.isEmpty()) "" else "&since=${entries.last().key}"
             val (status, body) = http.call(HttpMethod.GET, "/kv?prefix=$prefix$since&most=200", null, 4000) ?: return null
             if (status != 200) return null
@@ -122,13 +131,15 @@
         }
     }
 
+    /** Bulk work ([urgent] false) takes what leases, users' requests and the ends of jobs leave. */
     suspend fun txn(
         guards: Map<String, Long>,
         changes: List<Change>,
         timeoutMs: Long = 2000,
+        urgent: Boolean = true,
     ): Committed {
-        reads.take()
-        writes.take(changes.size.coerceAtLeast(1))
+        reads.take(urgent = urgent)
+        if (changes.isNotEmpty()) writes.take(changes.size, urgent)
         val request =
             JsonObject()
                 .put("guards", JsonArray(guards.map { (key, stamp) -> JsonObject().put("k", key).put("stamp", stamp) }))
@@ -136,8 +147,8 @@
         val (status, body) = http.call(HttpMethod.POST, "/txn", request, timeoutMs) ?: return Committed.Unknown
         return when (status) {
             200 -> Committed.Yes(body.getLong("ledger_rev") ?: 0)
-            409 -> Committed.Refused
-            400 -> if (body.getString("error") == "no such lease") Committed.NoLease else Committed.Refused
+            409 -> Committed.Refused(parsed { body.getJsonArray("failed").map { it as String } } ?: emptyList())
+            400 -> if (body.getString("error") == "no such lease") Committed.NoLease else Committed.Refused()
             else -> Committed.Unknown
         }
     }
@@ -197,19 +208,41 @@
         }
 }
 
-/** Keeps a process within its share of a rate: takes wait for their turn. */
+/**
+ * Keeps a process within its share of a rate. What is urgent goes at once and may run into debt, which is then waited for; the
+ * rest waits until there is enough left beside it.
+ */
 class RateBudget(
     private val clock: Clock,
-    private val perSecond: Double,
+    private val perSecond: () -> Double,
 ) {
-    private var nextUs = Long.MIN_VALUE
+    private var tokens = 0.0
+    private var refilledUs = Long.MIN_VALUE
+
+    suspend fun take(
+        units: Int = 1,
+        urgent: Boolean = true,
+    ) {
+        while (true) {
+            val waitMs = wait(units, urgent)
+            if (waitMs > 0) delay(waitMs)
+            if (urgent || waitMs == 0L) return
+        }
+    }
 
-    suspend fun take(units: Int = 1) {
+    /** How long to wait, in milliseconds. What is urgent has been taken with that, the rest only where it is 0. */
+    fun wait(
+        units: Int,
+        urgent: Boolean,
+    ): Long {
+        val rate = perSecond()
         val now = clock.now()
-        val step = (units * SECOND / perSecond).toLong()
         // Half a second's worth may be saved up: bursts are allowed one second's worth over all processes.
-        nextUs = maxOf(nextUs, now - SECOND / 2) + step
-        val wait = nextUs - now
-        if (wait > 0) delay(wait / 1000 + 1)
+        val most = maxOf(rate / 2, 1.0)
+        tokens = if (refilledUs == Long.MIN_VALUE) most else minOf(most, tokens + (now - refilledUs) * rate / SECOND)
+        refilledUs = now
+        val short = if (urgent) units - tokens else minOf(units.toDouble(), most) - tokens
+        if (urgent || short <= 0) tokens -= units
+        return if (short <= 0) 0 else (short / rate * 1000).toLong() + 1
     }
 }
