--- a/src/test/kotlin/lichenstage/world/SimWorker.kt
+++ b/src/test/kotlin/lichenstage/world/SimWorker.kt
@@ -1,6 +1,5 @@
 package lichenstage.world
 
-import lichenstage.app.MILLI
 import lichenstage.app.SECOND
 import lichenstage.cluster.TaskPhase
 import lichenstage.part.Command
@@ -115,7 +114,12 @@
             tasks[key] = Task(job, index, command.attempt, TaskPhase.ENDED, refusal, 0)
             return
         }
-        val run = if (command.task in results) 10 * MILLI else job.runUs / 2 + (random.nextDouble() * job.runUs).toLong()
+        if (command.task in results) {
+            // The result is kept: it exits with `done` as soon as it has its image, without running.
+            tasks[key] = Task(job, index, command.attempt, TaskPhase.ENDED, "done", 0)
+            return
+        }
+        val run = job.runUs / 2 + (random.nextDouble() * job.runUs).toLong()
         tasks[key] = Task(job, index, command.attempt, TaskPhase.RUNNING, null, now + run)
         checker.started(name, job, index, now)
     }
@@ -144,7 +148,7 @@
         if (hung(now)) return false
         for (task in tasks.values) {
             if (task.phase != TaskPhase.RUNNING || now < task.endsUs) continue
-            end(task, if (random.nextInt(40) == 0) "error" else "done")
+            end(task, if (random.nextInt(15) == 0) "error" else "done")
             changed = true
         }
         return changed
--- a/src/test/kotlin/lichenstage/world/World.kt
+++ b/src/test/kotlin/lichenstage/world/World.kt
@@ -5,6 +5,7 @@
 import lichenstage.app.Team
 import lichenstage.cluster.LeaderFrame
 import lichenstage.cluster.PartFrame
+import lichenstage.cluster.Parting
 import lichenstage.cluster.Shape
 import lichenstage.jobs.JobSpec
 import lichenstage.jobs.Priority
@@ -15,6 +16,7 @@
 import lichenstage.part.Probe
 import lichenstage.part.Report
 import lichenstage.part.ReportAnswer
+import lichenstage.placement.DoneNews
 import lichenstage.placement.Effect
 import lichenstage.placement.Goals
 import lichenstage.placement.Inherited
@@ -25,11 +27,11 @@
 import java.util.Random
 
 /** Ways to build the service wrongly, to show that the checker sees it. */
-enum class Sabotage { NONE, SHORT_LEASE, EAGER_OWNER, IGNORED_LIMIT, DONE_TOO_EARLY, CANCEL_UNHEARD }
+enum class Sabotage { NONE, SHORT_LEASE, EAGER_OWNER, IGNORED_LIMIT, DONE_TOO_EARLY, CANCEL_UNHEARD, COPIES_BELIEVED, CLEARED_AT_ONCE }
 
 /**
  * Controllers' decision logic and workers on virtual time, with crashes, cuts, hangs and held and repeated messages drawn
- * from a seed. Authority is a small model of leases in the state service: what is under test is what is decided with it.
+ * from a seed. Copies of reports and repeats of orders come up to three leases late. Authority is a small model of leases in the state service: what is under test is what is decided with it.
  */
 class World(
     seed: Long,
@@ -61,6 +63,10 @@
     var now = 0L
         private set
     private val zones = listOf("a", "b", "c")
+
+    /** Zone a has two controllers and so two parts, zone c none of its own. */
+    private val controllers = mapOf("n0" to "a", "n1" to "a", "n2" to "b")
+    private val parting = Parting(zones, controllers)
     private val teams =
         listOf("red", "blue").associateWith { Team(it, 0.0, 24.0, 0.0, Double.POSITIVE_INFINITY) }
     val checker = Checker(teams.mapValues { it.value.coresMax }, CANCEL_US)
@@ -83,7 +89,12 @@
 
     // Cuts: pairs of hosts that can't talk until a time; messages are held or lost.
     private val cuts = HashMap<String, Pair<Long, Boolean>>()
-    private var troubleUntilUs = 0L
+
+    // Machines that nothing reaches, and until when the state service answers late.
+    private val deafUntilUs = HashMap<String, Long>()
+    private var slowStateUntilUs = 0L
+
+    private fun partOf(worker: SimWorker) = parting.partOf(worker.name, worker.zone)!!
 
     private fun at(
         delayUs: Long,
@@ -107,7 +118,9 @@
         deliver: () -> Unit,
     ) {
         val cut = cuts[pair(from, to)]?.takeIf { it.first > now }
-        val delay = MILLI + random.nextInt(8000)
+        val delay = (MILLI + random.nextInt(8000)) * if (to == "state" && now < slowStateUntilUs) 20 else 1
+        // Nothing reaches a deaf machine; what is lost on the way is not sent again.
+        if ((deafUntilUs[to] ?: 0) > now) return
         if (cut == null) {
             at(delay, deliver)
             if (repeats && random.nextInt(50) == 0) at(delay + random.nextInt(20_000_000), deliver)
@@ -125,7 +138,6 @@
         troubleUs: Long,
         calmUs: Long,
     ) {
-        troubleUntilUs = troubleUs
         nodes.forEach { node -> every(200 * MILLI) { control(node) } }
         workers.forEach { worker ->
             target[worker.name] = random.nextInt(3)
@@ -181,22 +193,69 @@
     private fun trouble() {
         val forUs = 2 * SECOND + random.nextInt(20_000_000)
         val held = random.nextBoolean()
-        when (random.nextInt(6)) {
-            0 -> crash(nodes[random.nextInt(3)])
-            1 -> workers[random.nextInt(workers.size)].let { w -> nodes.forEach { cuts[pair(w.name, "n${it.id}")] = now + forUs to held } }
-            2 -> workers[random.nextInt(workers.size)].hungUntilUs = now + forUs
-            3 -> cuts[pair("n${random.nextInt(3)}", "state")] = now + forUs to held
-            4 -> cuts[pair("n${random.nextInt(3)}", "n${random.nextInt(3)}")] = now + forUs to held
-            5 -> nodes[random.nextInt(3)].let { n -> workers.forEach { cuts[pair(it.name, "n${n.id}")] = now + forUs to held } }
+        val node = nodes[random.nextInt(3)]
+        val worker = workers[random.nextInt(workers.size)]
+        val self = "n${node.id}"
+        val others = nodes.filter { it != node }.map { "n${it.id}" }
+        when (random.nextInt(12)) {
+            0 -> crash(node)
+
+            1 -> nodes.forEach { cut(worker.name, "n${it.id}", forUs, held) }
+
+            2 -> worker.hungUntilUs = now + forUs
+
+            3 -> cut(self, "state", forUs, held)
+
+            4 -> cut(self, others.random(), forUs, held)
+
+            5 -> workers.forEach { cut(it.name, self, forUs, held) }
+
+            // Its reports arrive, but nothing reaches it.
+            6 -> deafUntilUs[worker.name] = now + forUs + WORKER_LEASE_US / 2
+
+            // It keeps its workers, and loses all else.
+            7 -> (others + "state").forEach { cut(self, it, forUs, held) }
+
+            // Connections between controllers are refused.
+            8 -> nodes.forEach { a -> nodes.forEach { b -> cut("n${a.id}", "n${b.id}", forUs, held = false) } }
+
+            // Two zones apart.
+            9 -> apart("a", "b", forUs, held)
+
+            10 -> nodes.forEach(::crash)
+
+            11 -> slowStateUntilUs = now + forUs
         }
     }
 
+    private fun List<String>.random() = this[random.nextInt(size)]
+
+    private fun cut(
+        a: String,
+        b: String,
+        forUs: Long,
+        held: Boolean,
+    ) {
+        cuts[pair(a, b)] = now + forUs to held
+    }
+
+    private fun apart(
+        one: String,
+        other: String,
+        forUs: Long,
+        held: Boolean,
+    ) {
+        fun hosts(zone: String) = controllers.filterValues { it == zone }.keys + workers.filter { it.zone == zone }.map { it.name }
+        hosts(one).forEach { a -> hosts(other).forEach { b -> cut(a, b, forUs, held) } }
+    }
+
     private fun crash(node: Node) {
         node.alive = false
         node.life++
         node.parts.clear()
         node.leader = null
-        at(MILLI * 300 + random.nextInt(6_000_000)) {
+        // Now and then it is back within a fraction of a second.
+        at(100 * MILLI + if (random.nextInt(3) == 0) random.nextInt(300_000) else random.nextInt(6_000_000)) {
             node.alive = true
             node.renewedUs = Long.MIN_VALUE / 2
         }
@@ -216,16 +275,18 @@
             }
             expiry[node.id] = now + LEASE_US
             node.renewedUs = now
-            for (key in zones + LEADER) if (key !in owner && random.nextInt(3) == 0) owner[key] = node.id to ++term
+            for (key in parting.parts + LEADER) if (key !in owner && random.nextInt(3) == 0) owner[key] = node.id to ++term
         }
         if (!node.entitled()) return
-        for (zone in zones) {
-            val mine = owner[zone]?.takeIf { it.first == node.id }
+        for (id in parting.parts) {
+            val mine = owner[id]?.takeIf { it.first == node.id }
             if (mine == null) {
-                node.parts.remove(zone)
-            } else if (node.parts[zone]?.term != mine.second) {
+                node.parts.remove(id)
+            } else if (node.parts[id]?.term != mine.second) {
                 val lease = if (sabotage == Sabotage.SHORT_LEASE) WORKER_LEASE_US / 5 else WORKER_LEASE_US
-                node.parts[zone] = PartCore(zone, mine.second, lease, 3 * SECOND, now) { Build("type", Shape(8.0, 0.0, 64.0)) }
+                val zone = parting.zone(id)!!
+                val repeats = if (sabotage == Sabotage.CLEARED_AT_ONCE) 0 else 10 * WORKER_LEASE_US
+                node.parts[id] = PartCore(id, zone, mine.second, lease, 3 * SECOND, now, repeats) { Build("type", Shape(8.0, 0.0, 64.0)) }
             }
         }
         lead(node)
@@ -262,8 +323,10 @@
         val limits = if (sabotage == Sabotage.IGNORED_LIMIT) teams.mapValues { it.value.copy(coresMax = 1e9) } else teams
         val lease = if (sabotage == Sabotage.EAGER_OWNER) -3 * SECOND else WORKER_LEASE_US
         val leader =
-            LeaderCore(term, term, zones, limits, lease, Timers(), Goals(emptyList()), { Shape(8.0, 0.0, 64.0) }) { effect(node, term, it) }
-        leader.inherited(workers.map { Inherited(it.name, it.zone, "type", "10.0.0.1:9000") })
+            LeaderCore(term, term, parting, limits, lease, Timers(), Goals(emptyList()), { Shape(8.0, 0.0, 64.0) }, 12) {
+                effect(node, term, it)
+            }
+        leader.inherited(workers.map { Inherited(it.name, partOf(it), "type", "10.0.0.1:9000") })
         node.leader = leader
         node.leaderSeenJobs = HashSet()
         open.values.forEach { addJob(node, leader, it) }
@@ -298,8 +361,7 @@
                 0,
             )
         val job = Job(spec, sim.stamp, now)
-        job.done.or(durable.getValue(sim.id))
-        job.durable.or(job.done)
+        job.recorded(durable.getValue(sim.id))
         leader.jobAdded(job)
     }
 
@@ -310,46 +372,59 @@
     ) {
         when (effect) {
             is Effect.Send -> {
-                val to = owner[effect.zone]?.first ?: return
+                val to = owner[effect.part]?.first ?: return
                 val life = nodes[to].life
                 send("n${node.id}", "n$to") { if (nodes[to].life == life) deliver(nodes[to], effect.frame) }
             }
 
-            is Effect.WriteDone -> {
-                val life = node.life
-                var answered = false
-                at(3 * SECOND) { if (!answered && node.life == life) written(node, term, effect, false) }
-                send("n${node.id}", "state", repeats = false) {
-                    val ok = owner[LEADER]?.second == term && effect.job.spec.id in open
-                    if (ok) write(effect)
-                    send("n${node.id}", "state", repeats = false) {
-                        if (!answered && node.life == life) written(node, term, effect, ok)
-                        answered = true
-                    }
+            is Effect.WriteRanges -> {
+                write(node, term, { effect.news.forEach(::recorded) }) { leader, ok ->
+                    leader.rangesWritten(effect.news, ok, now)
                 }
             }
-        }
-    }
 
-    private fun write(effect: Effect.WriteDone) {
-        val id = effect.job.spec.id
-        durable.getValue(id).or(effect.covers)
-        val last = effect.last || (sabotage == Sabotage.DONE_TOO_EARLY && effect.covers.cardinality() * 2 > jobs.getValue(id).tasks)
-        if (last) {
-            open.remove(id)
-            done += id
-            checker.toldDone(jobs.getValue(id), now)
+            is Effect.Finish -> {
+                write(node, term, { finish(effect.job) }) { leader, ok ->
+                    if (ok) leader.finished(effect.job) else leader.notFinished(effect.job)
+                }
+            }
         }
     }
 
-    private fun written(
+    /** A transaction under the leader's guard; its answer may not come. */
+    private fun write(
         node: Node,
         term: Long,
-        effect: Effect.WriteDone,
-        ok: Boolean,
+        apply: () -> Unit,
+        answer: (LeaderCore, Boolean) -> Unit,
     ) {
-        val leader = node.leader?.takeIf { it.term == term } ?: return
-        if (ok) leader.doneWritten(effect.job, effect.covers, effect.last) else leader.doneNotWritten(effect.job)
+        val life = node.life
+        var answered = false
+
+        fun told(ok: Boolean) {
+            if (answered || node.life != life) return
+            answered = true
+            node.leader?.takeIf { it.term == term }?.let { answer(it, ok) }
+        }
+        at(3 * SECOND) { told(false) }
+        send("n${node.id}", "state", repeats = false) {
+            val ok = owner[LEADER]?.second == term
+            if (ok) apply()
+            send("n${node.id}", "state", repeats = false) { told(ok) }
+        }
+    }
+
+    private fun recorded(news: DoneNews) {
+        val id = news.job.spec.id
+        durable.getValue(id).or(news.covers)
+        if (sabotage == Sabotage.DONE_TOO_EARLY && news.covers.cardinality() * 3 > jobs.getValue(id).tasks) finish(news.job)
+    }
+
+    private fun finish(job: Job) {
+        val id = job.spec.id
+        if (open.remove(id) == null) return
+        done += id
+        checker.toldDone(jobs.getValue(id), now)
     }
 
     private fun deliver(
@@ -357,7 +432,7 @@
         frame: LeaderFrame,
     ) {
         if (!node.alive) return
-        node.parts[frame.zone]?.leader(frame, now)
+        node.parts[frame.part]?.leader(frame, now)
         pump(node)
     }
 
@@ -365,7 +440,7 @@
     private fun pump(node: Node) {
         if (!node.entitled()) return
         for (part in node.parts.values) {
-            if (owner[part.zone]?.second != part.term && reachesState(node)) continue
+            if (owner[part.id]?.second != part.term && reachesState(node)) continue
             part.directOrders(now).forEach { order(node, part, it) }
             part.probes(now).forEach { probe(node, part, it) }
             part.frame(now)?.let { frame -> toLeader(node, frame) }
@@ -431,6 +506,12 @@
                 if (worker.hung(now)) return at(worker.hungUntilUs - now + MILLI) { land() }
                 val result = worker.orders(part.term, order.session, order.commands, now)
                 send(worker.name, "n${node.id}") { outcome(result) }
+                // A repeat of what was carried out.
+                if (random.nextInt(6) == 0) {
+                    at(random.nextInt(LATEST_US).toLong()) {
+                        if (!worker.hung(now)) worker.orders(part.term, order.session, order.commands, now)
+                    }
+                }
             }
             land()
         }
@@ -443,6 +524,10 @@
         val report = worker.report()
         val sentUs = now
         var answered = false
+        if (random.nextInt(25) == 0) {
+            val copy = if (sabotage == Sabotage.COPIES_BELIEVED) report.copy(sequence = Long.MAX_VALUE / 2) else report
+            at(random.nextInt(LATEST_US).toLong()) { answer(nodes[random.nextInt(3)], copy) }
+        }
         send(worker.name, "n${node.id}") {
             val answer = answer(node, report)
             send("n${node.id}", worker.name) {
@@ -458,14 +543,15 @@
     }
 
     private fun redirect(worker: SimWorker) {
-        target[worker.name] = owner[worker.zone]?.first?.takeIf { random.nextInt(4) > 0 } ?: random.nextInt(3)
+        target[worker.name] = owner[partOf(worker)]?.first?.takeIf { random.nextInt(4) > 0 } ?: random.nextInt(3)
     }
 
     private fun answer(
         node: Node,
         report: Report,
     ): ReportAnswer.Accepted? {
-        val part = node.parts[report.zone]?.takeIf { node.entitled() } ?: return null
+        val id = parting.partOf(report.machine, report.zone)!!
+        val part = node.parts[id]?.takeIf { node.alive && node.entitled() } ?: return null
         val outcome = part.report(report, now) as? ReportAnswer.Accepted
         pump(node)
         return outcome
@@ -476,5 +562,6 @@
         const val LEASE_US = 6 * SECOND
         const val WORKER_LEASE_US = 15 * SECOND
         const val CANCEL_US = 40 * SECOND
+        const val LATEST_US = 45_000_000
     }
 }
