LOG_LEVEL is heard again: it is read before the settings make the first logger

Reading the JSON settings made Vert.x log through slf4j before the level was set, so that every level was `info`. The smoke start now looks for it. A job's end says when its tasks were placed and running, and at `debug` the fleet says what it holds for needed.

--- a/src/main/kotlin/lichenstage/app/Main.kt
+++ b/src/main/kotlin/lichenstage/app/Main.kt
@@ -52,6 +52,8 @@
 }
 
 private fun run(args: Array<String>): Int {
+    // Before all else: reading the settings makes the first logger, and later levels would not be heard.
+    logTo(System.getenv("LOG_LEVEL"))
     val line = commandLine()
     val parsed =
         try {
@@ -102,7 +104,6 @@
     settings: Settings,
     operator: Operator = Operator(),
 ) {
-    logTo(System.getenv("LOG_LEVEL"))
     // Everything is addressed by numbers: no resolver threads, no file cache.
     System.setProperty("vertx.disableDnsResolver", "true")
     System.setProperty("vertx.disableFileCaching", "true")
@@ -132,6 +133,7 @@
     System.setProperty("org.slf4j.simpleLogger.defaultLogLevel", known)
     System.setProperty("org.slf4j.simpleLogger.log.io.netty", "error")
     System.setProperty("org.slf4j.simpleLogger.log.io.vertx", "error")
+    System.setProperty("org.slf4j.simpleLogger.log.io.micrometer", "error")
     System.setProperty("org.slf4j.simpleLogger.showThreadName", "false")
     System.setProperty("org.slf4j.simpleLogger.showDateTime", "false")
 }
--- a/src/main/kotlin/lichenstage/fleet/FleetCore.kt
+++ b/src/main/kotlin/lichenstage/fleet/FleetCore.kt
@@ -180,6 +180,20 @@
         return ceil(maxOf(expected, minOf(parallel, maxOf(backlog, promised))) - 1e-9).toInt()
     }
 
+    /** For the log: what there is, and why it is held for right. */
+    fun describe(now: Long): String =
+        flavors.keys.joinToString { build ->
+            val have = machines.values.filter { it.build == build }
+            val here = wanted.filter { it.build == build }
+            "$build: ${have.size} rented, ${have.count { it.spot }} of them cheap, ${have.count { it.upOnce }} up, " +
+                "${have.count { it.upOnce && it.tasks == 0 }} idle, ${have.count { it.draining }} draining; needed ${need(build, now)}: " +
+                "expected %.0f, in use %.0f, waiting for %.0f s".format(
+                    forecast.machines(build, policy.fill, now),
+                    here.sumOf { it.busy },
+                    here.sumOf { it.waitingUs } / SECOND / maxOf(have.size, 1),
+                )
+        }
+
     /** Machines with which all is done with room to spare: estimates are off, machines fail, and bursts come. */
     private fun pace(
         promised: List<Demand>,
--- a/src/main/kotlin/lichenstage/placement/Job.kt
+++ b/src/main/kotlin/lichenstage/placement/Job.kt
@@ -48,6 +48,10 @@
     /** Tasks that wait for a place; empty until the job may be placed. */
     val pending = IntArrayList()
     var placeable = false
+
+    /** When its tasks were last given a place and when one last began to run, for the log. */
+    var placedUs = 0L
+    var runningUs = 0L
     var notBeforeUs = Long.MIN_VALUE
     var failures = 0
 
--- a/src/main/kotlin/lichenstage/placement/LeaderActor.kt
+++ b/src/main/kotlin/lichenstage/placement/LeaderActor.kt
@@ -134,6 +134,7 @@
     private var loaded = false
     private var cloudBusy = false
     private var cloudCalledUs = Long.MIN_VALUE / 2
+    private var describedUs = Long.MIN_VALUE / 2
     private var registryBusy = false
     private var registeredUs = Long.MIN_VALUE / 2
     private var countedUs = Long.MIN_VALUE / 2
@@ -360,7 +361,7 @@
     private fun finished(message: LeaderMessage.Finished) {
         val job = message.job
         if (message.outcome is Committed.Yes) {
-            core.finished(job)
+            core.finished(job, clock.now())
             tidy(job)
         } else {
             core.notFinished(job)
@@ -411,6 +412,10 @@
             now,
         )
         core.close(fleet.closing())
+        if (log.isDebugEnabled && now - describedUs >= DESCRIBE_US) {
+            describedUs = now
+            log.debug("{}", fleet.describe(now))
+        }
     }
 
     private fun callCloud(now: Long) {
@@ -479,6 +484,7 @@
         const val MACHINES = "m/"
         const val TICK_MS = 100L
         const val WATCH_MS = 8000L
+        const val DESCRIBE_US = 10_000_000L
         const val OBSERVE_US = 500_000L
         const val COUNT_US = 2_000_000L
         const val REGISTER_US = 300_000L
--- a/src/main/kotlin/lichenstage/placement/LeaderCore.kt
+++ b/src/main/kotlin/lichenstage/placement/LeaderCore.kt
@@ -241,7 +241,10 @@
             return
         }
         if (mine) {
-            if (known!!.phase != task.phase && task.phase == TaskPhase.RUNNING) known.runningUs = now
+            if (known!!.phase != task.phase && task.phase == TaskPhase.RUNNING) {
+                known.runningUs = now
+                job.runningUs = now
+            }
             known.phase = task.phase
         } else if (known == null && view.settled) {
             // Started by an earlier leader.
@@ -427,6 +430,7 @@
                 // Not told by any frame so far: its own is sent below.
                 attempt.seq = Long.MAX_VALUE
                 ledger.track(attempt)
+                job.placedUs = now
                 sent += attempt
                 starts.getOrPut(place.part) { ArrayList() } += StartOrder(ask.stamp, place.machine, index, attempt.number)
             }
@@ -522,8 +526,19 @@
         }
     }
 
-    fun finished(job: Job) {
-        log.info("{} is done", job.spec.id)
+    fun finished(
+        job: Job,
+        now: Long,
+    ) {
+        log.info(
+            "{} is done: {} of {} tasks, all placed after {} ms, running after {} ms, done after {} ms",
+            job.spec.id,
+            job.spec.kind,
+            job.spec.tasks,
+            (job.placedUs - job.arrivedUs) / MILLI,
+            (job.runningUs - job.arrivedUs) / MILLI,
+            (now - job.arrivedUs) / MILLI,
+        )
         job.finishUnderWay = false
         unrecorded.remove(job)
         job.phase = JobPhase.CLOSED
--- a/src/test/kotlin/lichenstage/placement/LeaderCoreTest.kt
+++ b/src/test/kotlin/lichenstage/placement/LeaderCoreTest.kt
@@ -214,7 +214,7 @@
         leader.tick(2 * SECOND)
         val end = effects.filterIsInstance<Effect.Finish>().single()
         condition(sent("z").all { it.clears.isEmpty() }) { "cleared before the record was written" }
-        leader.finished(end.job)
+        leader.finished(end.job, 3 * SECOND)
         leader.tick(4 * SECOND)
         condition(sent("z").last().clears.size == 2 && "j-1" !in leader.jobs) { "not cleared" }
     }
--- a/src/test/kotlin/lichenstage/standin/Smoke.kt
+++ b/src/test/kotlin/lichenstage/standin/Smoke.kt
@@ -38,7 +38,11 @@
     private val ports = zones.map { freePort() to freePort() }
     private val statePort = freePort()
     private val cloudPort = freePort()
-    private val folder = File("target/smoke").apply { mkdirs() }
+    private val folder =
+        File("target/smoke").apply {
+            deleteRecursively()
+            mkdirs()
+        }
     private val http = HttpClient.newBuilder().connectTimeout(Duration.ofSeconds(2)).build()
     private val running = ConcurrentHashMap<String, MutableSet<String>>()
     private val twice = ConcurrentHashMap.newKeySet<String>()
@@ -90,6 +94,7 @@
                 }
             }
             check("no task was on two machines") { twice.isEmpty() }
+            check("LOG_LEVEL is heard") { levelsAreHeard() }
             check("all processes still run") { processes.values.all { it.isAlive } }
         } finally {
             processes.values.forEach { it.destroyForcibly() }
@@ -143,10 +148,19 @@
     private fun launch(node: Int) {
         val file = File(folder, "n$node.json")
         file.writeText(settings(node).encodePrettily())
-        val log = ProcessBuilder.Redirect.appendTo(File(folder, "n$node.log"))
-        processes[node] = ProcessBuilder(command + file.path).redirectErrorStream(true).redirectOutput(log).start()
+        val log = ProcessBuilder.Redirect.appendTo(logOf(node))
+        val process = ProcessBuilder(command + file.path).redirectErrorStream(true).redirectOutput(log)
+        process.environment()["LOG_LEVEL"] = LEVELS[node]
+        processes[node] = process.start()
     }
 
+    private fun logOf(node: Int) = File(folder, "n$node.log")
+
+    /** Guards against a level that is set after the first logger was made, and so never heard. */
+    private fun levelsAreHeard() =
+        logOf(0).readText().contains("DEBUG lichenstage") && logOf(1).readText().contains("INFO lichenstage") &&
+            !logOf(1).readText().contains("DEBUG lichenstage") && !logOf(2).readText().contains("INFO lichenstage")
+
     private fun settings(node: Int): JsonObject {
         val seeds =
             zones.indices.filter { it != node }.map {
@@ -234,4 +248,8 @@
         id: Int,
     ): String? =
         answer(node, "GET", "/api/jobs/j-$id", null)?.takeIf { it.statusCode() == 200 }?.let { JsonObject(it.body()).getString("status") }
+
+    private companion object {
+        val LEVELS = listOf("debug", "info", "error")
+    }
 }
--- a/src/test/kotlin/lichenstage/world/World.kt
+++ b/src/test/kotlin/lichenstage/world/World.kt
@@ -385,7 +385,7 @@
 
             is Effect.Finish -> {
                 write(node, term, { finish(effect.job) }) { leader, ok ->
-                    if (ok) leader.finished(effect.job) else leader.notFinished(effect.job)
+                    if (ok) leader.finished(effect.job, now) else leader.notFinished(effect.job)
                 }
             }
         }
