--- a/src/main/kotlin/lichenstage/authority/Authority.kt
+++ b/src/main/kotlin/lichenstage/authority/Authority.kt
@@ -45,7 +45,7 @@
     private val changed: (View) -> Unit,
 ) {
     private val log = LoggerFactory.getLogger("lichenstage.authority")
-    private val lifeUs = (settings.workerLeaseUs * 4 / 10).coerceIn(5 * SECOND, 8 * SECOND)
+    private val lifeUs = (settings.workerLeaseUs * 4 / 10).coerceIn(5 * SECOND, 6 * SECOND)
     private val lease = LocalLease(lifeUs)
     private var renewedUs = Long.MIN_VALUE / 2
     private val parting = settings.parting
--- a/src/main/kotlin/lichenstage/placement/Takeover.kt
+++ b/src/main/kotlin/lichenstage/placement/Takeover.kt
@@ -50,12 +50,19 @@
     }
 
     /**
-     * A few machines that keep all older jobs waiting because nothing is heard of them although their part has an owner:
-     * giving them back is the fastest proof that nothing runs on them. Where many are silent, the network is at fault.
+     * Machines that keep all older jobs waiting because nothing is heard of them although their part has an owner: giving them
+     * back is the fastest proof that nothing runs on them. A few are given back soon (cheap machines are taken at any time, so
+     * that in a large deployment some are always just gone), more of them later; where many are silent, the network is at fault.
      */
     fun blockers(registered: Int): List<String> {
-        if (awaited.isEmpty() || awaited.size > maxOf(MOST_FENCED, registered / 50)) return emptyList()
-        return awaited.values.filter { (partOf(it.part)?.ageUs ?: 0) > FENCE_US }.map { it.name }
+        if (awaited.isEmpty()) return emptyList()
+        val afterUs =
+            when {
+                awaited.size <= maxOf(FEW, registered / FEW_SHARE) -> SOON_US
+                awaited.size <= registered / SOME_SHARE -> LATER_US
+                else -> return emptyList()
+            }
+        return awaited.values.filter { (partOf(it.part)?.ageUs ?: 0) > afterUs }.map { it.name }
     }
 
     /** What may be in use on the machines of which nothing is known yet: each counts at its full size. */
@@ -71,7 +78,10 @@
 
     companion object {
         const val UNHEARD_MARGIN_US = 2 * SECOND
-        private const val FENCE_US = 6 * SECOND
-        private const val MOST_FENCED = 2
+        private const val FEW = 2
+        private const val FEW_SHARE = 50
+        private const val SOME_SHARE = 16
+        private const val SOON_US = 5 * SECOND / 2
+        private const val LATER_US = 6 * SECOND
     }
 }
