Jobs that have time wait a moment for machines with their image

With room coming up all the time, some of it is on machines that have the image. Cache sizes and fetch rates now come from the machine types.

--- a/src/main/kotlin/lichenstage/cluster/Frames.kt
+++ b/src/main/kotlin/lichenstage/cluster/Frames.kt
@@ -46,7 +46,8 @@
 
 /**
  * A placement request: [count] tasks of one shape. [stamp] orders the requests at every part. [warmFirst]: the start is promised
- * so soon that room on a machine without the image is of little use.
+ * so soon that room on a machine without the image is of little use. [warmOnly]: for a moment only machines with the image are
+ * of use, since others would first spend a good part of the run time on fetching it.
  */
 @Serializable
 data class Ask(
@@ -58,6 +59,7 @@
     val zone: String?,
     val spot: Boolean,
     val warmFirst: Boolean = false,
+    val warmOnly: Boolean = false,
 )
 
 /** Start the task [index] of the job of request [stamp] on a machine that is held for it. */
--- a/src/main/kotlin/lichenstage/fleet/Catalog.kt
+++ b/src/main/kotlin/lichenstage/fleet/Catalog.kt
@@ -42,7 +42,7 @@
         }
     }
 
-    fun build(name: String): Build? = flavors[name]?.let { Build(it.name, it.capacity) }
+    fun build(name: String): Build? = flavors[name]?.let { Build(it.name, it.capacity, it.cacheGb) }
 
     /** Prices move; what a machine holds does not. */
     private fun sizes(of: Map<String, Flavor>) = of.values.map { it.copy(spotPrice = 0.0) }.toSet()
@@ -70,6 +70,8 @@
                         .put("price", it.price)
                         .put("spot", it.spotPrice)
                         .put("boot", it.bootUs)
+                        .apply { if (it.cacheGb.isFinite()) put("cache", it.cacheGb) }
+                        .put("fetch", it.fetchGbPerS)
                         .put("zones", JsonArray(it.zones))
                 },
             ),
@@ -80,7 +82,9 @@
             val shape = Shape(it.getDouble("cores"), it.getDouble("cards"), it.getDouble("mem"))
             val zones = it.getJsonArray("zones").map { zone -> zone as String }
             val name = it.getString("name")
-            name to Flavor(name, shape, it.getDouble("price"), it.getDouble("spot"), it.getLong("boot"), zones)
+            val cacheGb = it.getDouble("cache") ?: Double.POSITIVE_INFINITY
+            val fetch = it.getDouble("fetch") ?: 1.0
+            name to Flavor(name, shape, it.getDouble("price"), it.getDouble("spot"), it.getLong("boot"), cacheGb, fetch, zones)
         }
 
     private companion object {
--- a/src/main/kotlin/lichenstage/fleet/Cloud.kt
+++ b/src/main/kotlin/lichenstage/fleet/Cloud.kt
@@ -17,8 +17,13 @@
     val price: Double,
     val spotPrice: Double,
     val bootUs: Long,
+    val cacheGb: Double,
+    val fetchGbPerS: Double,
     val zones: List<String>,
-)
+) {
+    /** How long a machine fetches an image while it fetches no other. */
+    fun fetchUs(gb: Double) = (gb / fetchGbPerS * SECOND).toLong()
+}
 
 /** A machine in the cloud's list, which lags. */
 data class Listed(
@@ -70,6 +75,8 @@
             row.getDouble("hourly"),
             row.getDouble("low_price") ?: row.getDouble("hourly"),
             (row.getDouble("boot_s") * SECOND).toLong(),
+            row.getDouble("cache_gb")?.takeIf { it > 0 } ?: Double.POSITIVE_INFINITY,
+            row.getDouble("pull_gb_per_s")?.takeIf { it > 0 } ?: 1.0,
             row.getJsonArray("yards").map { it as String },
         )
 
--- a/src/main/kotlin/lichenstage/fleet/Estimate.kt
+++ b/src/main/kotlin/lichenstage/fleet/Estimate.kt
@@ -43,7 +43,7 @@
             if (atOnce <= 0.0) continue
             byTeam.merge(spec.team, atOnce * spec.shape.cores, Double::plus)
             val per = perMachine(flavor, spec.shape).toDouble()
-            val eachUs = (runUs(spec) + fetchUs(spec)) / per
+            val eachUs = (runUs(spec) + flavor.fetchUs(spec.imageGb)) / per
             val waiting = if (job.placeable) job.pending.size else left
             demand +=
                 Demand(
@@ -69,11 +69,6 @@
         val spec = job.spec
         val flavor = fitting(spec, flavors).minByOrNull { it.price / perMachine(it, spec.shape) } ?: return null
         val machines = spec.tasks.toDouble() / perMachine(flavor, spec.shape)
-        return Arrival(flavor.name, job.arrivedUs, machines, runUs + fetchUs(spec), urgent(flavor))
+        return Arrival(flavor.name, job.arrivedUs, machines, runUs + flavor.fetchUs(spec.imageGb), urgent(flavor))
     }
-
-    private fun fetchUs(spec: JobSpec) = (spec.imageGb * FETCH_US_PER_GB).toLong()
-
-    /** A rough allowance for fetches that tasks share. */
-    private const val FETCH_US_PER_GB = 500_000
 }
--- a/src/main/kotlin/lichenstage/part/Machine.kt
+++ b/src/main/kotlin/lichenstage/part/Machine.kt
@@ -61,6 +61,7 @@
 class Machine(
     val name: String,
     report: Report,
+    cacheGb: Double,
 ) {
     var address = report.address
     val build = report.build
@@ -95,7 +96,7 @@
     /** After an order without an answer the report answers are the path, until a report has come. */
     var ordersBlocked = false
 
-    private val images = Images()
+    private val images = Images(cacheGb)
     private val holds = Holds()
     private var used: Shape? = null
     private var usedValid = false
@@ -172,7 +173,9 @@
 }
 
 /** Images that were used on a machine, the latest last: most likely still in its cache. */
-private class Images {
+private class Images(
+    private val cacheGb: Double,
+) {
     private val sizes = LinkedHashMap<String, Double>()
     private var total = 0.0
 
@@ -184,16 +187,11 @@
     ) {
         total += gb - (sizes.remove(image) ?: 0.0)
         sizes[image] = gb
-        while (total > CACHE_GB && sizes.size > 1) total -= sizes.remove(sizes.keys.first())!!
+        while (total > cacheGb && sizes.size > 1) total -= sizes.remove(sizes.keys.first())!!
     }
 
     fun clear() {
         sizes.clear()
         total = 0.0
     }
-
-    private companion object {
-        /** What a machine of any type keeps at the least. */
-        const val CACHE_GB = 40.0
-    }
 }
--- a/src/main/kotlin/lichenstage/part/PartCore.kt
+++ b/src/main/kotlin/lichenstage/part/PartCore.kt
@@ -21,6 +21,7 @@
 data class Build(
     val name: String,
     val capacity: Shape,
+    val cacheGb: Double = Double.POSITIVE_INFINITY,
 )
 
 /** What to do with a report. */
@@ -145,7 +146,7 @@
     private fun newMachine(
         report: Report,
         now: Long,
-    ) = Machine(report.machine, report).also {
+    ) = Machine(report.machine, report, buildOf(report.build)?.cacheGb ?: Double.POSITIVE_INFINITY).also {
         it.sessionSeenUs = now
         touch(it)
     }
@@ -466,9 +467,11 @@
             if (!usable(machine) || machine.name in closed) continue
             if (now - machine.heardUs > reportUs * 5 / 2) continue
             if ((ask.builds != null && machine.build !in ask.builds) || (machine.spot && !ask.spot)) continue
-            val capacity = buildOf(machine.build)?.capacity ?: continue
-            val tasks = machine.room(ask.facts.shape, capacity, factsOf)
-            if (tasks > 0) fitting += Held(machine.name, tasks, tasks, machine.warm(ask.facts.image))
+            val warm = machine.warm(ask.facts.image)
+            if (ask.warmOnly && !warm) continue
+            val build = buildOf(machine.build) ?: continue
+            val tasks = machine.room(ask.facts.shape, build.capacity, factsOf)
+            if (tasks > 0) fitting += Held(machine.name, tasks, tasks, warm)
         }
         val held = Room.take(fitting, ask.count, ask.warmFirst)
         if (held.isNotEmpty()) {
--- a/src/main/kotlin/lichenstage/placement/LeaderActor.kt
+++ b/src/main/kotlin/lichenstage/placement/LeaderActor.kt
@@ -28,6 +28,7 @@
 import lichenstage.fleet.Seen
 import lichenstage.jobs.DoneRanges
 import lichenstage.jobs.JobRecord
+import lichenstage.jobs.JobSpec
 import lichenstage.state.Change
 import lichenstage.state.Committed
 import lichenstage.state.Entry
@@ -125,6 +126,7 @@
             goals,
             { catalog.flavors[it]?.capacity },
             settings.txnOps,
+            ::fetchUs,
             ::effect,
         )
     private val registry = Registry(settings.valueBytes)
@@ -156,6 +158,9 @@
 
     val openJobs get() = core.jobs.size
 
+    /** On the type that fetches slowest of those that it may run on. */
+    private fun fetchUs(spec: JobSpec) = Estimate.fitting(spec, catalog.flavors).maxOfOrNull { it.fetchUs(spec.imageGb) } ?: 0
+
     private fun entitled() = authority.leading()?.term == term
 
     private suspend fun load() {
--- a/src/main/kotlin/lichenstage/placement/LeaderCore.kt
+++ b/src/main/kotlin/lichenstage/placement/LeaderCore.kt
@@ -16,6 +16,7 @@
 import lichenstage.cluster.TaskPhase
 import lichenstage.cluster.TaskView
 import lichenstage.jobs.DoneRanges
+import lichenstage.jobs.JobSpec
 import org.slf4j.LoggerFactory
 import java.util.BitSet
 
@@ -60,9 +61,10 @@
     teams: Map<String, Team>,
     private val leaseUs: Long,
     private val timers: Timers,
-    goals: Goals,
+    private val goals: Goals,
     private val capacityOf: (String) -> Shape?,
     private val batch: Int,
+    private val fetchUs: (JobSpec) -> Long = { 0 },
     private val emit: (Effect) -> Unit,
 ) {
     private val log = LoggerFactory.getLogger("lichenstage.placement")
@@ -389,7 +391,9 @@
             val count = minOf(job.pending.size, timers.askTasks, ledger.allowance(spec.team, spec.shape, strangers, before))
             if (count <= 0) continue
             planned[spec.team] = before - spec.shape * -count
-            asks += Ask(++stampCounter, spec.id, spec.facts, count, spec.builds, zoneFor(job), spec.spot, warmFirst(job)) to job
+            val ask =
+                Ask(++stampCounter, spec.id, spec.facts, count, spec.builds, zoneFor(job), spec.spot, warmFirst(job), warmOnly(job, now))
+            asks += ask to job
         }
         if (asks.isEmpty()) return
         round = Round(asks, now, timers.alphaUs)
@@ -406,7 +410,20 @@
     }
 
     /** A fetch keeps a machine's room from being used at all: worth avoiding where it isn't short beside the run. */
-    private fun warmFirst(job: Job) = job.spec.imageGb * FETCH_US_PER_GB * 20 > runTimes.expectedUs(job.spec)
+    private fun warmFirst(job: Job) = fetchUs(job.spec) * 20 > runTimes.expectedUs(job.spec)
+
+    /**
+     * A job that has time waits a moment for room on machines that have its image; where room comes up all the time, some of it
+     * does there. If none does, it takes what there is once, and so the image gets to more machines.
+     */
+    private fun warmOnly(
+        job: Job,
+        now: Long,
+    ): Boolean {
+        if (!warmFirst(job) || goals.startsWithin(job.spec.kind, HURRY_US)) return false
+        val patienceUs = (fetchUs(job.spec) / 4).coerceAtMost(MOST_PATIENCE_US)
+        return now - maxOf(job.arrivedUs, job.placedUs) < patienceUs
+    }
 
     /** Keeps the roomiest of what is held, starts tasks there, and lets go of the rest. */
     private fun decide(
@@ -667,8 +684,7 @@
         const val REACHABLE_US = 2500 * MILLI
         const val CLOSED_US = 300 * MILLI
         const val CLOSED_AGAIN_US = 4 * SECOND
-
-        /** A rough allowance for fetches that share a link. */
-        const val FETCH_US_PER_GB = 2 * SECOND
+        const val HURRY_US = 8 * SECOND
+        const val MOST_PATIENCE_US = 3 * SECOND
     }
 }
--- a/src/test/kotlin/lichenstage/fleet/FleetCoreTest.kt
+++ b/src/test/kotlin/lichenstage/fleet/FleetCoreTest.kt
@@ -8,7 +8,7 @@
 class FleetCoreTest {
     private fun fleet(forecast: Forecast = Forecast(0)) =
         FleetCore(3, FleetPolicy(), forecast).apply {
-            flavors = mapOf("t" to Flavor("t", Shape(16.0, 0.0, 64.0), 1.0, 0.4, 30 * SECOND, listOf("y", "z")))
+            flavors = mapOf("t" to Flavor("t", Shape(16.0, 0.0, 64.0), 1.0, 0.4, 30 * SECOND, 50.0, 0.5, listOf("y", "z")))
             listed(emptyList(), 0)
             next(0)
         }
--- a/src/test/kotlin/lichenstage/part/PartCoreTest.kt
+++ b/src/test/kotlin/lichenstage/part/PartCoreTest.kt
@@ -314,6 +314,19 @@
         ) { "a cold machine came first" }
     }
 
+    @Example
+    fun `a request that waits for warm room gets no other`() {
+        val part = part()
+        listOf("a", "b").forEach { part.report(report(5, machine = it), 1) }
+        part.leader(frame(asks = listOf(ask(1, 3).copy(warmOnly = true))), 2)
+        condition(offered(part, 2).isEmpty()) { "a cold machine was offered" }
+        part.leader(frame(asks = listOf(ask(2, 4))), 3)
+        part.leader(frame(starts = listOf(StartOrder(2, "b", 0, 1))), 4)
+        part.directOrders(4)
+        part.leader(frame(asks = listOf(ask(3, 3).copy(warmOnly = true))), 5)
+        condition(offered(part, 5) == listOf("b")) { "not the machine that fetches the image" }
+    }
+
     private companion object {
         const val LEASE = 20 * SECOND
     }
