Requests for room with the image come before those for any room; the forecast follows demand closer

Kept: 70 s, one deviation, 100%, settle 30 s.

Also: a job whose fetch is long asks twice, first for room on machines with its image; in the order of the stamps the first job would otherwise take, with a fetch before it, what the next could use at once.

--- a/src/main/kotlin/lichenstage/cluster/Frames.kt
+++ b/src/main/kotlin/lichenstage/cluster/Frames.kt
@@ -45,9 +45,8 @@
 ) : Frame
 
 /**
- * A placement request: [count] tasks of one shape. [stamp] orders the requests at every part. [warmFirst]: the start is promised
- * so soon that room on a machine without the image is of little use. [warmOnly]: for a moment only machines with the image are
- * of use, since others would first spend a good part of the run time on fetching it.
+ * A placement request: [count] tasks of one shape. [stamp] orders the requests at every part. [warmOnly]: it is for room on machines
+ * with the image, since others would first spend a good part of the run time on fetching it.
  */
 @Serializable
 data class Ask(
@@ -58,7 +57,6 @@
     val builds: List<String>?,
     val zone: String?,
     val spot: Boolean,
-    val warmFirst: Boolean = false,
     val warmOnly: Boolean = false,
 )
 
--- a/src/main/kotlin/lichenstage/cluster/Room.kt
+++ b/src/main/kotlin/lichenstage/cluster/Room.kt
@@ -5,19 +5,17 @@
  *
  * Room is counted in tasks of the request, and only as far as the request can use it: of two machines that both take all
  * that is left of it, neither is roomier. Among equals those with the image come first (a fetch takes as long as many
- * tasks run), then the fullest, so that small tasks don't take the last whole machines from large ones. Where the start is
- * promised sooner than the image comes, a machine without it has no room that can be used in time, and comes after those with it.
+ * tasks run), then the fullest, so that small tasks don't take the last whole machines from large ones.
  */
 object Room {
     /** Up to [count] tasks on the roomiest of [offers], each machine filled before the next. */
     fun take(
         offers: List<Held>,
         count: Int,
-        warmFirst: Boolean = false,
     ): List<Held> {
         if (count <= 0) return emptyList()
         val sorted = offers.filterTo(ArrayList()) { it.count > 0 }
-        sorted.sortWith(if (warmFirst) WARM_FIRST else ROOMIEST)
+        sorted.sortWith(ROOMIEST)
         val taken = ArrayList<Held>()
         var left = count
         var next = 0
@@ -30,7 +28,7 @@
         // Of the rest, machines that take all that is left are alike.
         while (left > 0 && next < sorted.size) {
             var best = next
-            for (i in next + 1 until sorted.size) if (before(sorted[i], sorted[best], left, warmFirst)) best = i
+            for (i in next + 1 until sorted.size) if (before(sorted[i], sorted[best], left)) best = i
             val held = sorted[best]
             sorted[best] = sorted[next]
             next++
@@ -45,9 +43,7 @@
         one: Held,
         other: Held,
         left: Int,
-        warmFirst: Boolean,
     ): Boolean {
-        if (warmFirst && one.warm != other.warm) return one.warm
         val a = minOf(one.count, left)
         val b = minOf(other.count, left)
         return when {
@@ -58,5 +54,4 @@
     }
 
     private val ROOMIEST = compareByDescending<Held> { it.count }.thenByDescending { it.warm }.thenBy { it.room }
-    private val WARM_FIRST = compareByDescending<Held> { it.warm }.thenByDescending { it.count }.thenBy { it.room }
 }
--- a/src/main/kotlin/lichenstage/fleet/FleetCore.kt
+++ b/src/main/kotlin/lichenstage/fleet/FleetCore.kt
@@ -48,8 +48,8 @@
     /** What waits should be begun within this time. */
     val backlogUs: Long = 90 * SECOND,
     /** The part of a machine's time that can be filled. */
-    val fill: Double = 0.85,
-    val settleUs: Long = 45 * SECOND,
+    val fill: Double = 1.0,
+    val settleUs: Long = 30 * SECOND,
 )
 
 /**
--- a/src/main/kotlin/lichenstage/fleet/Forecast.kt
+++ b/src/main/kotlin/lichenstage/fleet/Forecast.kt
@@ -17,8 +17,8 @@
  * How many machines the jobs that keep coming will use. What came lately counts most; where nothing comes for much longer than is
  * usual, nothing more is expected.
  *
- * For jobs whose start is promised sooner than a machine boots, their variation has to be there beforehand: two standard
- * deviations, those of many independent jobs that each take their machines for their run time (Campbell's theorem). For the others
+ * For jobs whose start is promised sooner than a machine boots, their variation has to be there beforehand: one standard
+ * deviation, that of many independent jobs that each take their machines for their run time (Campbell's theorem). For the others
  * the queue evens it out.
  */
 class Forecast(
@@ -94,8 +94,8 @@
     fun learning(now: Long) = now - sinceUs < memoryUs
 
     private companion object {
-        const val MEMORY_US = 100 * SECOND
-        const val DEVIATIONS = 2.0
+        const val MEMORY_US = 70 * SECOND
+        const val DEVIATIONS = 1.0
         const val SILENT_JOBS = 8.0
     }
 }
--- a/src/main/kotlin/lichenstage/part/PartCore.kt
+++ b/src/main/kotlin/lichenstage/part/PartCore.kt
@@ -380,7 +380,7 @@
         frame.starts.forEach { release(it.stamp) }
         for (order in frame.stops) mark(order, now) { it.stopWanted = true }
         for (order in frame.clears) mark(order, now) { it.clearWanted = true }
-        frame.asks.sortedBy { it.stamp }.forEach { offers += grant(it, now) }
+        grantAll(frame.asks.sortedBy { it.stamp }, now)
         if (frame.asks.isNotEmpty() || frame.starts.isNotEmpty() || frame.stops.isNotEmpty()) dirty = true
     }
 
@@ -455,9 +455,23 @@
             .forEach(::release)
     }
 
-    /** Holds room for as many tasks of the request as fit, on the roomiest machines. */
+    /** In the order of the stamps. Of a job that asks twice, the later request is for what the first has not got. */
+    private fun grantAll(
+        asks: List<Ask>,
+        now: Long,
+    ) {
+        val got = HashMap<String, Int>()
+        for (ask in asks) {
+            val offer = grant(ask, ask.count - (got[ask.job] ?: 0), now)
+            got.merge(ask.job, offer.held.sumOf { it.count }, Int::plus)
+            offers += offer
+        }
+    }
+
+    /** Holds room for as many tasks of the request as fit, up to [most], on the roomiest machines. */
     private fun grant(
         ask: Ask,
+        most: Int,
         now: Long,
     ): Offer {
         if (ask.zone != null && ask.zone != zone) return Offer(ask.stamp, emptyList())
@@ -473,7 +487,7 @@
             val tasks = machine.room(ask.facts.shape, build.capacity, factsOf)
             if (tasks > 0) fitting += Held(machine.name, tasks, tasks, warm)
         }
-        val held = Room.take(fitting, ask.count, ask.warmFirst)
+        val held = Room.take(fitting, most)
         if (held.isNotEmpty()) {
             holds[ask.stamp] = Hold(ask, now, held.associateTo(HashMap()) { it.machine to it.count })
             held.forEach { machines.getValue(it.machine).hold(ask.facts.shape, it.count) }
--- a/src/main/kotlin/lichenstage/placement/Choice.kt
+++ b/src/main/kotlin/lichenstage/placement/Choice.kt
@@ -21,7 +21,6 @@
         offers: Map<String, List<Held>>,
         most: Int,
         zoneOf: (String) -> String,
-        warmFirst: Boolean = false,
         zoneRoom: (String) -> Int,
     ): List<Place> {
         val partOf = HashMap<String, String>()
@@ -29,9 +28,9 @@
         val allowed =
             offers.entries
                 .groupBy({ zoneOf(it.key) }, { it.value })
-                .flatMap { (zone, held) -> Room.take(held.flatten(), minOf(most, zoneRoom(zone)), warmFirst) }
+                .flatMap { (zone, held) -> Room.take(held.flatten(), minOf(most, zoneRoom(zone))) }
         return Room
-            .take(allowed, most, warmFirst)
+            .take(allowed, most)
             .flatMap { held -> List(held.count) { Place(partOf.getValue(held.machine), held.machine) } }
     }
 
--- a/src/main/kotlin/lichenstage/placement/LeaderCore.kt
+++ b/src/main/kotlin/lichenstage/placement/LeaderCore.kt
@@ -377,30 +377,44 @@
 
     private fun reachable(now: Long) = parts.filterValues { now - it.heardUs < REACHABLE_US }.keys
 
-    /** Broadcasts a request for each of the first jobs in the queue that have something to place. */
+    /**
+     * Broadcasts requests for the first jobs in the queue that have something to place. Those that gain by it ask for room on
+     * machines with their image first, all of them, and for any room with later stamps: otherwise the first job would take, with
+     * a fetch before it, the room that the next could use at once.
+     */
     private fun ask(now: Long) {
         worthAsking = false
         askedUs = now
         val strangers = strangers()
         val planned = HashMap<String, Shape>()
-        val asks = ArrayList<Pair<Ask, Job>>()
+        val first = ArrayList<Pair<Job, Int>>()
         for (job in queue.order(jobs.values, { cores }, now)) {
-            if (asks.size >= timers.askJobs) break
+            if (first.size >= timers.askJobs) break
             val spec = job.spec
             val before = planned[spec.team] ?: Ledger.NONE
             val count = minOf(job.pending.size, timers.askTasks, ledger.allowance(spec.team, spec.shape, strangers, before))
             if (count <= 0) continue
             planned[spec.team] = before - spec.shape * -count
-            val ask =
-                Ask(++stampCounter, spec.id, spec.facts, count, spec.builds, zoneFor(job), spec.spot, warmFirst(job), warmOnly(job, now))
-            asks += ask to job
+            first += job to count
         }
-        if (asks.isEmpty()) return
+        if (first.isEmpty()) return
+        val atOnce = first.map { (job, count) -> request(job, count, warmOnly = gainsByImage(job)) to job }
+        val after = first.filter { (job, _) -> gainsByImage(job) && !patient(job, now) }
+        val asks = atOnce + after.map { (job, count) -> request(job, count, warmOnly = false) to job }
         round = Round(asks, now, timers.alphaUs)
         val frames = asks.map { it.first }
         parting.parts.forEach { send(it, now, asks = frames) }
     }
 
+    private fun request(
+        job: Job,
+        count: Int,
+        warmOnly: Boolean,
+    ): Ask {
+        val spec = job.spec
+        return Ask(++stampCounter, spec.id, spec.facts, count, spec.builds, zoneFor(job), spec.spot, warmOnly)
+    }
+
     /** A job whose tasks must share a zone stays in the one it is in. */
     private fun zoneFor(job: Job): String? {
         if (job.spec.zone != null || !job.spec.sameZone) return job.spec.zone
@@ -410,17 +424,17 @@
     }
 
     /** A fetch keeps a machine's room from being used at all: worth avoiding where it isn't short beside the run. */
-    private fun warmFirst(job: Job) = fetchUs(job.spec) * 20 > runTimes.expectedUs(job.spec)
+    private fun gainsByImage(job: Job) = fetchUs(job.spec) * 20 > runTimes.expectedUs(job.spec)
 
     /**
      * A job that has time waits a moment for room on machines that have its image; where room comes up all the time, some of it
      * does there. If none does, it takes what there is once, and so the image gets to more machines.
      */
-    private fun warmOnly(
+    private fun patient(
         job: Job,
         now: Long,
     ): Boolean {
-        if (!warmFirst(job) || goals.startsWithin(job.spec.kind, HURRY_US)) return false
+        if (goals.startsWithin(job.spec.kind, HURRY_US)) return false
         val patienceUs = (fetchUs(job.spec) / 4).coerceAtMost(MOST_PATIENCE_US)
         return now - maxOf(job.arrivedUs, job.placedUs) < patienceUs
     }
@@ -439,7 +453,7 @@
             val spec = job.spec
             val most = minOf(ask.count, ledger.allowance(spec.team, spec.shape, strangers))
             val offers = current.of(ask.stamp).mapValues { (_, held) -> held.filter { it.machine in registry && it.machine !in closed } }
-            for (place in Choice.roomiest(offers, most, ::zoneOf, ask.warmFirst, zoneRoom(job, offers))) {
+            for (place in Choice.roomiest(offers, most, ::zoneOf, zoneRoom(job, offers))) {
                 val index = job.next()
                 if (index < 0) break
                 val attempt = Attempt(job, index, newAttempt(), place.machine, place.part)
@@ -552,8 +566,8 @@
             job.spec.id,
             job.spec.kind,
             job.spec.tasks,
-            (job.placedUs - job.arrivedUs) / MILLI,
-            (job.runningUs - job.arrivedUs) / MILLI,
+            (job.placedUs - job.arrivedUs).coerceAtLeast(0) / MILLI,
+            (job.runningUs - job.arrivedUs).coerceAtLeast(0) / MILLI,
             (now - job.arrivedUs) / MILLI,
         )
         job.finishUnderWay = false
