--- a/src/main/kotlin/lichenstage/placement/LeaderCore.kt
+++ b/src/main/kotlin/lichenstage/placement/LeaderCore.kt
@@ -377,11 +377,7 @@
 
     private fun reachable(now: Long) = parts.filterValues { now - it.heardUs < REACHABLE_US }.keys
 
-    /**
-     * Broadcasts requests for the first jobs in the queue that have something to place. Those that gain by it ask for room on
-     * machines with their image first, all of them, and for any room with later stamps: otherwise the first job would take, with
-     * a fetch before it, the room that the next could use at once.
-     */
+    /** Broadcasts requests for the first jobs in the queue that have something to place. */
     private fun ask(now: Long) {
         worthAsking = false
         askedUs = now
@@ -398,14 +394,41 @@
             first += job to count
         }
         if (first.isEmpty()) return
-        val atOnce = first.map { (job, count) -> request(job, count, warmOnly = gainsByImage(job)) to job }
-        val after = first.filter { (job, _) -> gainsByImage(job) && !patient(job, now) }
-        val asks = atOnce + after.map { (job, count) -> request(job, count, warmOnly = false) to job }
+        val asks = runs(first) { (job, _) -> hurried(job) }.flatMap { requests(it, now) }
         round = Round(asks, now, timers.alphaUs)
         val frames = asks.map { it.first }
         parting.parts.forEach { send(it, now, asks = frames) }
     }
 
+    /**
+     * Jobs that follow each other and are in the same hurry ask, where they gain by it, for room on machines with their image
+     * first, all of them, and for any room with later stamps: otherwise the first would take, with a fetch before it, the room
+     * that the next could use at once. A job in less of a hurry does not come before one in more by having its image there.
+     */
+    private fun requests(
+        jobs: List<Pair<Job, Int>>,
+        now: Long,
+    ): List<Pair<Ask, Job>> {
+        val atOnce = jobs.map { (job, count) -> request(job, count, warmOnly = gainsByImage(job)) to job }
+        val after = jobs.filter { (job, _) -> gainsByImage(job) && !patient(job, now) }
+        return atOnce + after.map { (job, count) -> request(job, count, warmOnly = false) to job }
+    }
+
+    /** Splits a list into runs of neighbours that are alike. */
+    private fun <T> runs(
+        list: List<T>,
+        kind: (T) -> Boolean,
+    ): List<List<T>> {
+        val result = ArrayList<ArrayList<T>>()
+        for (item in list) {
+            if (result.isEmpty() || kind(result.last().last()) != kind(item)) result += ArrayList<T>()
+            result.last() += item
+        }
+        return result
+    }
+
+    private fun hurried(job: Job) = goals.startsWithin(job.spec.kind, HURRY_US)
+
     private fun request(
         job: Job,
         count: Int,
@@ -434,7 +457,7 @@
         job: Job,
         now: Long,
     ): Boolean {
-        if (goals.startsWithin(job.spec.kind, HURRY_US)) return false
+        if (hurried(job)) return false
         val patienceUs = (fetchUs(job.spec) / 4).coerceAtMost(MOST_PATIENCE_US)
         return now - maxOf(job.arrivedUs, job.placedUs) < patienceUs
     }
--- a/src/test/kotlin/lichenstage/placement/LeaderCoreTest.kt
+++ b/src/test/kotlin/lichenstage/placement/LeaderCoreTest.kt
@@ -265,6 +265,23 @@
         condition(Choice.bestZone(offers, zoneOf) == "z") { "not the larger offer" }
     }
 
+    @Example
+    fun `room with the image is asked for before any room, but not before what is in more of a hurry`() {
+        val goals = Goals(listOf(Objective(ObjectiveKind.WAIT, "quick", 2 * SECOND)))
+        val leader =
+            LeaderCore(7, 100, parting, mapOf("red" to teams.getValue("red").copy(coresMax = 99.0)), 20 * SECOND, Timers(), goals, {
+                Shape(16.0, 0.0, 64.0)
+            }, 10, { SECOND }) { effects += it }
+        for ((id, kind) in listOf("j-1" to "quick", "j-2" to "quick", "j-3" to "c")) {
+            leader.jobAdded(Job(spec(id).copy(kind = kind), 1, 0))
+        }
+        leader.frame(part("z", 0, view("m1")), 5 * SECOND)
+        leader.tick(5 * SECOND)
+        val asks = lastAsk().asks.sortedBy { it.stamp }
+        condition(asks.map { it.warmOnly } == listOf(true, true, false, false, true, false)) { "$asks" }
+        condition(asks.takeLast(2).all { it.job == "j-3" }) { "$asks" }
+    }
+
     @Example
     fun `a promise that can't be kept any more does not come first`() {
         val goals = Goals(listOf(Objective(ObjectiveKind.WAIT, "c", 15 * SECOND), Objective(ObjectiveKind.FINISHED, "c", 90 * SECOND)))
