A request that was given up while it waited for a connection no longer keeps it; parts no longer go round

Requests that had timed out while they waited in the pool got a connection when the cut was over, and held it for ever, all 24 of them. The others handed its part back every 3 s and took it again, 23 times in 100 s. A part is now held for 12 s at least.

--- a/src/main/kotlin/lichenstage/app/JsonHttp.kt
+++ b/src/main/kotlin/lichenstage/app/JsonHttp.kt
@@ -1,7 +1,9 @@
 package lichenstage.app
 
 import io.vertx.core.Vertx
+import io.vertx.core.http.HttpClient
 import io.vertx.core.http.HttpClientOptions
+import io.vertx.core.http.HttpClientRequest
 import io.vertx.core.http.HttpMethod
 import io.vertx.core.http.PoolOptions
 import io.vertx.core.json.JsonObject
@@ -10,6 +12,32 @@
 import kotlinx.coroutines.withTimeoutOrNull
 import org.slf4j.LoggerFactory
 
+/**
+ * One request to the end of its answer, or null after [timeoutMs].
+ *
+ * Guards against a pool that never recovers from a cut: a request that was given up while it waited for a connection gets one
+ * later, and would hold it for ever. (Seen on Baile's grown "troubles" day: after a cut of 40 s a controller renewed its lease and
+ * did nothing else until it was restarted.)
+ */
+suspend fun <T : Any> HttpClient.exchange(
+    method: HttpMethod,
+    address: Address,
+    path: String,
+    timeoutMs: Long,
+    talk: suspend (HttpClientRequest) -> T,
+): T? =
+    withTimeoutOrNull(timeoutMs) {
+        val pending = request(method, address.port, address.host, path)
+        try {
+            val request = pending.coAwait()
+            request.idleTimeout(timeoutMs)
+            talk(request)
+        } catch (e: CancellationException) {
+            pending.onSuccess { it.reset() }
+            throw e
+        }
+    }
+
 /** A bounded pool of connections to one service that speaks JSON. */
 class JsonHttp(
     vertx: Vertx,
@@ -31,9 +59,7 @@
         timeoutMs: Long,
     ): Pair<Int, JsonObject>? =
         try {
-            withTimeoutOrNull(timeoutMs) {
-                val request = client.request(method, address.port, address.host, path).coAwait()
-                request.idleTimeout(timeoutMs)
+            client.exchange(method, address, path, timeoutMs) { request ->
                 val response = (if (body == null) request.send() else request.send(body.toBuffer())).coAwait()
                 val text = response.body().coAwait()
                 response.statusCode() to (if (text.length() == 0) JsonObject() else JsonObject(text))
--- a/src/main/kotlin/lichenstage/authority/Authority.kt
+++ b/src/main/kotlin/lichenstage/authority/Authority.kt
@@ -70,6 +70,7 @@
     /** [keys] as holders, read once: they are asked for at every report. */
     private val holders = HashMap<String, Holder>()
     private val missingSinceUs = HashMap<String, Long>()
+    private val takenUs = HashMap<String, Long>()
     private var watching = false
 
     /** Stamps of ownerships that this process has let go of. */
@@ -249,6 +250,8 @@
     suspend fun release(part: String) {
         val held = owning(part) ?: return
         val key = PART + part
+        // If its own controller does not take it although it seems well, the part must not go round and round.
+        if (clock.now() - (takenUs[key] ?: 0) < LEAST_HELD_US) return
         givenUp += held.stamp
         changed(view())
         while (keys[key]?.stamp == held.stamp) {
@@ -328,6 +331,7 @@
                 take(TERMS, Entry(TERMS, counted, mark), mark)
                 take(key, Entry(key, value, mark), mark)
                 missingSinceUs.remove(key)
+                takenUs[key] = clock.now()
                 changed(view())
             } else {
                 missingSinceUs[key] = clock.now()
@@ -345,6 +349,7 @@
         private const val TERMS = "c/terms"
         private const val PACT_MS = 400L
         private const val UNCLEAR_US = 120 * SECOND
+        private const val LEAST_HELD_US = 12 * SECOND
         private const val HOME_FIRST_US = 3 * SECOND
         private const val FIRST_PATIENCE_US = 6 * SECOND
     }
--- a/src/main/kotlin/lichenstage/part/WorkerClient.kt
+++ b/src/main/kotlin/lichenstage/part/WorkerClient.kt
@@ -6,8 +6,8 @@
 import io.vertx.core.http.PoolOptions
 import io.vertx.kotlin.coroutines.coAwait
 import kotlinx.coroutines.CancellationException
-import kotlinx.coroutines.withTimeoutOrNull
 import lichenstage.app.Address
+import lichenstage.app.exchange
 import lichenstage.app.parseAddress
 
 /** Sends direct orders to workers. */
@@ -49,9 +49,7 @@
     ): OrderOutcome {
         var sent = false
         return try {
-            withTimeoutOrNull(TIMEOUT_MS) {
-                val request = client.request(HttpMethod.POST, address.port, address.host, "/orders").coAwait()
-                request.idleTimeout(TIMEOUT_MS)
+            client.exchange(HttpMethod.POST, address, "/orders", TIMEOUT_MS) { request ->
                 sent = true
                 val response = request.send(WorkerCodec.orders(token, commands, session).toBuffer()).coAwait()
                 val body = response.body().coAwait()
