--- a/src/main/kotlin/lichenstage/authority/Authority.kt
+++ b/src/main/kotlin/lichenstage/authority/Authority.kt
@@ -51,7 +51,7 @@
     private val changed: (View) -> Unit,
 ) {
     private val log = LoggerFactory.getLogger("lichenstage.authority")
-    private val lifeUs = (settings.workerLeaseUs * 4 / 10).coerceIn(MILLI * 4500, 5 * SECOND)
+    private val lifeUs = (settings.workerLeaseUs / 4).coerceIn(2 * SECOND, 4 * SECOND)
     private val lease = LocalLease(lifeUs)
     private var renewedUs = Long.MIN_VALUE / 2
     private val life = TimeUnit.MILLISECONDS.toMicros(System.currentTimeMillis())
@@ -297,8 +297,9 @@
         }
     }
 
-    /** The zone is shared with another controller, so that its own part is a smaller one. */
-    private val roomy = settings.peers.any { it.zone == settings.zone }
+    /** Its own part is no larger than the others': it shares its zone, or nobody does. */
+    private val roomy =
+        settings.peers.any { it.zone == settings.zone } || (settings.peers.map { it.zone } + settings.zone).distinct().size > others.size
 
     /** Before anybody has owned a part its own controller is given time to start. */
     private fun everOwned(key: String) = (keys[TERMS]?.value?.getJsonArray("owned")?.contains(key)) == true
--- a/src/test/kotlin/lichenstage/app/JsonHttpTest.kt
+++ b/src/test/kotlin/lichenstage/app/JsonHttpTest.kt
@@ -5,9 +5,12 @@
 import io.vertx.core.http.HttpServerRequest
 import io.vertx.core.json.JsonObject
 import io.vertx.kotlin.coroutines.coAwait
+import io.vertx.kotlin.coroutines.dispatcher
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.async
+import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.runBlocking
+import kotlinx.coroutines.withContext
 import net.jqwik.api.Example
 import org.junit.platform.commons.util.Preconditions.condition
 
@@ -17,23 +20,26 @@
     fun `a request that was given up while it waited for a connection does not keep it`() =
         runBlocking {
             val vertx = Vertx.vertx()
-            try {
-                val held = CompletableDeferred<HttpServerRequest>()
-                val server =
-                    vertx.createHttpServer().requestHandler {
-                        if (it.path() == "/held") held.complete(it) else it.response().end("{}")
-                    }
-                val port = server.listen(0, "127.0.0.1").coAwait().actualPort()
-                val http = JsonHttp(vertx, Address("127.0.0.1", port), connections = 1, queue = 10)
-                val first = async { http.call(HttpMethod.GET, "/held", null, LONG_MS) }
-                val request = held.await()
-                repeat(3) { condition(http.call(HttpMethod.GET, "/given-up", null, 20) == null) { "answered without a connection" } }
-                request.response().end("{}")
-                condition(first.await() == 200 to JsonObject()) { "the first was not answered" }
-                condition(http.call(HttpMethod.GET, "/next", null, LONG_MS) == 200 to JsonObject()) { "the connection is lost" }
-            } finally {
-                vertx.close().coAwait()
-            }
+            // As in the service: all on one event loop.
+            withContext(vertx.orCreateContext.dispatcher()) { giveUp(vertx) }
+            vertx.close().coAwait()
+        }
+
+    private suspend fun giveUp(vertx: Vertx) =
+        coroutineScope {
+            val held = CompletableDeferred<HttpServerRequest>()
+            val server =
+                vertx.createHttpServer().requestHandler {
+                    if (it.path() == "/held") held.complete(it) else it.response().end("{}")
+                }
+            val port = server.listen(0, "127.0.0.1").coAwait().actualPort()
+            val http = JsonHttp(vertx, Address("127.0.0.1", port), connections = 1, queue = 10)
+            val first = async { http.call(HttpMethod.GET, "/held", null, LONG_MS) }
+            val request = held.await()
+            repeat(3) { condition(http.call(HttpMethod.GET, "/given-up", null, 20) == null) { "answered without a connection" } }
+            request.response().end("{}")
+            condition(first.await() == 200 to JsonObject()) { "the first was not answered" }
+            condition(http.call(HttpMethod.GET, "/next", null, LONG_MS) == 200 to JsonObject()) { "the connection is lost" }
         }
 
     private companion object {
