Tasks that a part still lists on a returned machine are not adopted by a new leader

A leader had returned a machine and placed its tasks elsewhere; the next one, 10 s later, got the part's list of the machine, which is held for lost only after a lease, adopted its tasks and stopped the real ones, whose room then counted for nobody until they had stopped. Only recorded machines ever have tasks, so a list of one without record is of one that is gone; and what runs without being counted as an attempt now counts like a stranger's, at its machine's full size.

--- a/src/main/kotlin/lichenstage/placement/LeaderCore.kt
+++ b/src/main/kotlin/lichenstage/placement/LeaderCore.kt
@@ -89,7 +89,7 @@
     val runTimes = RunTimes()
     private val queue = Queue(goals, teams, runTimes)
 
-    /** Machines on which something runs whose job has no record any more, so that nobody knows its team. */
+    /** Machines on which something runs that counts for no team: its job has no record any more, or it should not be there. */
     private val strange = HashMap<String, String>()
     private val seqs = HashMap<String, Long>()
     private val informedBy = HashMap<String, Long>()
@@ -248,8 +248,9 @@
                 job.runningUs = now
             }
             known.phase = task.phase
-        } else if (known == null && view.settled) {
-            // Started by an earlier leader.
+        } else if (known == null && view.settled && view.name in registry) {
+            // Started by an earlier leader. Not on a machine without record: that one is gone, as its part will find (invariant 4),
+            // and its tasks may run elsewhere by now. (Seen on inc-2104: they were taken for the real ones, which were stopped.)
             val attempt = Attempt(job, index, task.attempt, view.name, id)
             attempt.partTerm = part.term
             attempt.seq = part.seq
@@ -692,13 +693,13 @@
                     val keep = wanted && task.cause == "done" && !job!!.durable.get(index)
                     if (!keep) clears += AttemptOrder(view.name, task.task, task.attempt)
                 } else {
-                    if (job == null) stranger = true
-                    val current = wanted && job!!.alive.get(index)?.let { it.number == task.attempt && it.machine == view.name } == true
-                    if (!current) stops += AttemptOrder(view.name, task.task, task.attempt)
+                    val counted = job?.alive?.get(index)?.let { it.number == task.attempt && it.machine == view.name } == true
+                    if (!counted) stranger = true
+                    if (!counted || !wanted) stops += AttemptOrder(view.name, task.task, task.attempt)
                 }
             }
         }
-        if (stranger) strange[view.name] = view.build else strange.remove(view.name)
+        if (stranger && view.name in registry) strange[view.name] = view.build else strange.remove(view.name)
         if (!view.settled) {
             stops.clear()
             clears.clear()
--- a/src/test/kotlin/lichenstage/placement/LeaderCoreTest.kt
+++ b/src/test/kotlin/lichenstage/placement/LeaderCoreTest.kt
@@ -141,6 +141,19 @@
         condition(leader.unregistered().map { it.second.name } == listOf("m1")) { "${leader.unregistered()}" }
     }
 
+    @Example
+    fun `tasks of a machine that was returned are not taken for those that run elsewhere`() {
+        val leader = leader()
+        leader.inherited(inherited("m1"))
+        leader.jobAdded(job("j-1"))
+        val ghost = view("ghost", TaskView("j-1/0", 3, TaskPhase.RUNNING))
+        leader.frame(part("z", 0, ghost, view("m1", TaskView("j-1/0", 4, TaskPhase.RUNNING))), SECOND)
+        condition(leader.attemptsOn("ghost").isEmpty()) { "adopted" }
+        condition(leader.attemptsOn("m1").single().number == 4L) { "the real one is not known" }
+        leader.tick(SECOND)
+        condition(sent("z").flatMap { it.stops }.none { it.machine == "m1" }) { "the real one was stopped" }
+    }
+
     @Example
     fun `a late copy that names a machine without record keeps nobody waiting`() {
         val leader = leader()
