--- a/src/test/kotlin/lichenstage/placement/PromisesTest.kt
+++ b/src/test/kotlin/lichenstage/placement/PromisesTest.kt
@@ -1,8 +1,6 @@
 package lichenstage.placement
 
 import lichenstage.app.SECOND
-import lichenstage.cluster.Shape
-import lichenstage.jobs.JobSpec
 import lichenstage.jobs.Priority
 import net.jqwik.api.Example
 import net.jqwik.api.ForAll
@@ -16,26 +14,7 @@
         n: Int,
         priority: Priority,
         tasks: Int = 4,
-    ) = JobSpec(
-        "j-$n",
-        "c",
-        "red",
-        priority,
-        tasks,
-        Shape(1.0, 0.0, 1.0),
-        null,
-        null,
-        false,
-        false,
-        true,
-        "i",
-        1.0,
-        10 * SECOND,
-        0,
-        0,
-        null,
-        0,
-    )
+    ) = oneCoreSpec(n, "c", priority, tasks, estimateUs = 10 * SECOND)
 
     private fun waiting(
         n: Int,
--- a/src/test/kotlin/lichenstage/placement/QueueTest.kt
+++ b/src/test/kotlin/lichenstage/placement/QueueTest.kt
@@ -3,8 +3,6 @@
 import lichenstage.app.Objective
 import lichenstage.app.ObjectiveKind
 import lichenstage.app.SECOND
-import lichenstage.cluster.Shape
-import lichenstage.jobs.JobSpec
 import lichenstage.jobs.Priority
 import net.jqwik.api.Example
 import org.junit.platform.commons.util.Preconditions.condition
@@ -19,30 +17,7 @@
         tasks: Int,
         arrivedUs: Long,
         priority: Priority = Priority.HIGH,
-    ): Job {
-        val spec =
-            JobSpec(
-                "j-$number",
-                kind,
-                "t",
-                priority,
-                tasks,
-                Shape(1.0, 0.0, 1.0),
-                null,
-                null,
-                false,
-                false,
-                true,
-                "i",
-                0.0,
-                SECOND,
-                0,
-                0,
-                null,
-                0,
-            )
-        return Job(spec, number.toLong(), arrivedUs).apply { open() }
-    }
+    ) = Job(oneCoreSpec(number, kind, priority, tasks), number.toLong(), arrivedUs).apply { open() }
 
     /**
      * Twice as much comes as can be done, all of it promised and of higher priority; the largest job of the class without a
--- /dev/null
+++ b/src/test/kotlin/lichenstage/placement/TestJobs.kt
@@ -0,0 +1,34 @@
+package lichenstage.placement
+
+import lichenstage.app.SECOND
+import lichenstage.cluster.Shape
+import lichenstage.jobs.JobSpec
+import lichenstage.jobs.Priority
+
+/** A job of one-core tasks, for tests of the order of jobs. */
+internal fun oneCoreSpec(
+    number: Int,
+    kind: String,
+    priority: Priority,
+    tasks: Int,
+    estimateUs: Long = SECOND,
+) = JobSpec(
+    "j-$number",
+    kind,
+    "red",
+    priority,
+    tasks,
+    Shape(1.0, 0.0, 1.0),
+    null,
+    null,
+    false,
+    false,
+    true,
+    "i",
+    1.0,
+    estimateUs,
+    0,
+    0,
+    null,
+    0,
+)
