Sockets are budgeted: connections for orders are few and shared, reports beyond the budget close theirs

Cause: a controller left alone had a connection of each worker for reports and one to each for orders.

--- a/src/main/kotlin/lichenstage/app/Controller.kt
+++ b/src/main/kotlin/lichenstage/app/Controller.kt
@@ -44,6 +44,11 @@
     private val clock = Clock.steady
     private val controllers = settings.peers.size + 1
     private val metrics = Metrics()
+    private val sockets =
+        Sockets(
+            settings.maxSockets,
+            StateClient.SOCKETS + CloudClient.SOCKETS + settings.peers.size * PEER_SOCKETS + SPARE_SOCKETS,
+        )
     private val state =
         StateClient(vertx, settings.state, clock, controllers, settings.stateRps, settings.stateWriteRps, ::writeShare)
     private val cloud = CloudClient(vertx, settings.cloud)
@@ -52,8 +57,9 @@
     private val links: Links = Links(vertx, settings, clock, scope, authority::stateAnswers, ::received)
     private val forwarder = Forwarder({ links.peerWithState() }) { to, frame -> links.send(to, frame) }
     private val jobs = JobsActor(state, settings.txnOps, catalog, settings.teams, authority::stateAnswers, forwarder, scope)
-    private val part = PartActor(settings, authority, clock, scope, WorkerClient(vertx), catalog::build, ::toLeader)
-    private val api = HttpApi(vertx, settings.listen, jobs, part, metrics, clock, ::healthy)
+    private val part =
+        PartActor(settings, authority, clock, scope, WorkerClient(vertx, clock, sockets::forOrders), catalog::build, ::toLeader)
+    private val api = HttpApi(vertx, settings.listen, jobs, part, metrics, clock, sockets, ::healthy)
     private var leader: LeaderActor? = null
 
     fun start() {
@@ -63,6 +69,7 @@
         metrics.gauge("leading") { if (leader != null) 1 else 0 }
         metrics.gauge("open_jobs") { leader?.openJobs ?: 0 }
         metrics.gauge("machines") { part.machineCount }
+        metrics.gauge("served_connections") { sockets.served }
         metrics.gauge("heap_bytes") { Runtime.getRuntime().let { it.totalMemory() - it.freeMemory() } }
         api.start()
         links.start()
@@ -152,6 +159,12 @@
     private companion object {
         const val HAND_BACK_MS = 3_000L
 
+        /** Both ways to another controller, each with one that is just being replaced. */
+        const val PEER_SOCKETS = 4
+
+        /** What listens, and some that are closing. */
+        const val SPARE_SOCKETS = 24
+
         /** The part of the state service's changes that is shared equally; the leader has the rest. */
         const val OTHERS_SHARE = 0.5
     }
--- a/src/main/kotlin/lichenstage/app/HttpApi.kt
+++ b/src/main/kotlin/lichenstage/app/HttpApi.kt
@@ -24,19 +24,33 @@
     private val part: PartActor,
     private val metrics: Metrics,
     private val clock: Clock,
+    private val sockets: Sockets,
     private val healthy: () -> Boolean,
 ) {
     private val log = LoggerFactory.getLogger("lichenstage.app")
 
     fun start() {
         vertx
-            .createHttpServer(HttpServerOptions().setTcpNoDelay(true).setIdleTimeout(120).setHandle100ContinueAutomatically(true))
-            .requestHandler(::route)
+            .createHttpServer(options())
+            .connectionHandler {
+                sockets.opened()
+                it.closeHandler { sockets.closed() }
+            }.requestHandler(::route)
             .listen(listen.port, listen.host)
             .onSuccess { log.info("serving on {}", listen) }
             .onFailure { die("$listen can't be used", it) }
     }
 
+    /** Plain HTTP/1.1 only: what would look for web sockets and HTTP/2 in each connection costs with every request. */
+    private fun options() =
+        HttpServerOptions()
+            .setTcpNoDelay(true)
+            .setIdleTimeout(IDLE_S)
+            .setHandle100ContinueAutomatically(true)
+            .setHttp2ClearTextEnabled(false)
+            .setPerFrameWebSocketCompressionSupported(false)
+            .setPerMessageWebSocketCompressionSupported(false)
+
     private fun route(request: HttpServerRequest) {
         val path = request.path()
         timed(
@@ -139,6 +153,7 @@
         request: HttpServerRequest,
         answer: WorkerAnswer,
     ) {
+        if (sockets.crowded()) request.response().putHeader("Connection", "close")
         when (answer) {
             is WorkerAnswer.Take -> write(request, 200, WorkerCodec.orders(answer.token, answer.commands))
             is WorkerAnswer.GoTo -> write(request, 421, JsonObject().put("steward", answer.label))
@@ -176,5 +191,8 @@
     private companion object {
         const val JOBS = "/api/jobs/"
         const val MOST_BODY = 64 * 1024
+
+        /** Longer than users wait between polls. What a cut or a crash left open must not fill the sockets. */
+        const val IDLE_S = 60
     }
 }
--- a/src/main/kotlin/lichenstage/app/Main.kt
+++ b/src/main/kotlin/lichenstage/app/Main.kt
@@ -134,6 +134,9 @@
     System.setProperty("org.slf4j.simpleLogger.log.io.netty", "error")
     System.setProperty("org.slf4j.simpleLogger.log.io.vertx", "error")
     System.setProperty("org.slf4j.simpleLogger.log.io.micrometer", "error")
+    // Connections that are reset, and requests that are given up, are told by what they were for; hundreds come with each cut.
+    System.setProperty("org.slf4j.simpleLogger.log.io.vertx.core.net.impl.ConnectionBase", "off")
+    System.setProperty("org.slf4j.simpleLogger.log.io.vertx.core.http.impl.HttpClientRequestImpl", "off")
     System.setProperty("org.slf4j.simpleLogger.showThreadName", "false")
     System.setProperty("org.slf4j.simpleLogger.showDateTime", "false")
 }
--- a/src/main/kotlin/lichenstage/app/Settings.kt
+++ b/src/main/kotlin/lichenstage/app/Settings.kt
@@ -58,6 +58,7 @@
     val listLagUs: Long,
     val count: Int,
     val objectives: List<Objective>,
+    val maxSockets: Int,
 ) {
     /** How the machines are parted among the controllers. */
     val parting by lazy { Parting(zones, peers.associate { it.label to it.zone } + (label to zone)) }
@@ -91,6 +92,7 @@
                 listLagUs = cloud.micros("list_lag_s"),
                 count = settings.number("count", 1.0).toInt(),
                 objectives = settings.list("objectives").mapNotNull(::objective),
+                maxSockets = settings.optionalObj("machine_limits")?.number("max_sockets", 16.0, 1024.0)?.toInt() ?: 1024,
             )
         }
 
@@ -132,6 +134,8 @@
 
     fun obj(field: String) = Fields(json.getValue(field) as? JsonObject ?: fail(field, "an object is needed"), at(field))
 
+    fun optionalObj(field: String) = if (json.getValue(field) == null) null else obj(field)
+
     fun text(field: String) = (json.getValue(field) as? String)?.takeIf { it.isNotEmpty() } ?: fail(field, "a text is needed")
 
     fun number(
--- a/src/main/kotlin/lichenstage/fleet/Cloud.kt
+++ b/src/main/kotlin/lichenstage/fleet/Cloud.kt
@@ -60,7 +60,7 @@
     vertx: Vertx,
     address: Address,
 ) {
-    private val http = JsonHttp(vertx, address, connections = 2, queue = 4)
+    private val http = JsonHttp(vertx, address, connections = SOCKETS, queue = 4)
 
     suspend fun flavors(): List<Flavor>? {
         val (status, body) = call(HttpMethod.GET, "/flavors", null) ?: return null
@@ -127,7 +127,9 @@
         body: JsonObject?,
     ) = http.call(method, path, body, TIMEOUT_MS)
 
-    private companion object {
-        const val TIMEOUT_MS = 4000L
+    companion object {
+        /** The most connections that this client has. */
+        const val SOCKETS = 2
+        private const val TIMEOUT_MS = 4000L
     }
 }
--- a/src/main/kotlin/lichenstage/part/PartActor.kt
+++ b/src/main/kotlin/lichenstage/part/PartActor.kt
@@ -115,7 +115,7 @@
                 for (part in parts.values) {
                     part.tick(now)
                     if (!entitled(part)) continue
-                    part.probes(now).forEach { probe(part, it) }
+                    part.probes(now, workers.free / 2).forEach { probe(part, it) }
                     pump(part, now)
                 }
             }
@@ -135,7 +135,7 @@
         now: Long,
     ) {
         if (!entitled(part)) return
-        part.directOrders(now).forEach { send(part, it) }
+        part.directOrders(now, workers.free).forEach { send(part, it) }
         part.frame(now)?.let(toLeader)
     }
 
--- a/src/main/kotlin/lichenstage/part/PartCore.kt
+++ b/src/main/kotlin/lichenstage/part/PartCore.kt
@@ -245,16 +245,22 @@
         return commands
     }
 
-    /** Direct orders for what shouldn't wait for a report: one at a time for each machine. */
-    fun directOrders(now: Long): List<DirectOrder> {
-        if (ordersDue.isEmpty()) return emptyList()
+    /**
+     * Direct orders for what shouldn't wait for a report: one at a time for each machine, [most] in all, as there are connections.
+     * The rest stays due; where it has to wait, what must stop comes before what may start.
+     */
+    fun directOrders(
+        now: Long,
+        most: Int = Int.MAX_VALUE,
+    ): List<DirectOrder> {
+        if (ordersDue.isEmpty() || most <= 0) return emptyList()
         val orders = ArrayList<DirectOrder>()
-        for (machine in ordersDue) {
+        val due = if (ordersDue.size > most) ordersDue.sortedBy { !stopDue(it) } else ordersDue.toList()
+        for (machine in due) {
+            if (orders.size >= most) break
+            ordersDue -= machine
             if (!machine.settled || machine.lost || machine.deaf || machine.ordersInFlight || machine.ordersBlocked) continue
-            val urgent =
-                machine.attempts.values.any {
-                    if (it.present) it.stopWanted && it.phase != TaskPhase.ENDED else !it.stopWanted
-                }
+            val urgent = stopDue(machine) || machine.attempts.values.any { !it.present && !it.stopWanted }
             if (!urgent) continue
             val commands = commands(machine, now).take(MAX_COMMANDS)
             for (command in commands) {
@@ -267,19 +273,23 @@
             machine.ordersInFlight = true
             orders += DirectOrder(machine.name, machine.address, machine.session, commands)
         }
-        ordersDue.clear()
         return orders
     }
 
+    private fun stopDue(machine: Machine) = machine.attempts.values.any { it.present && it.stopWanted && it.phase != TaskPhase.ENDED }
+
     /**
      * Machines to be asked at once whether they know this owner's token, or whether they hear us. A new owner need not wait
      * until each worker has found it: the answer to an empty order is a report that settles the machine (invariant 3). It
      * renews no lease. Only some at a time: after a takeover hundreds would be due.
      */
-    fun probes(now: Long): List<Probe> {
+    fun probes(
+        now: Long,
+        most: Int = Int.MAX_VALUE,
+    ): List<Probe> {
         val due = ArrayList<Probe>()
         for ((name, address) in addresses) {
-            if (probing.size >= MOST_PROBES) break
+            if (probing.size >= MOST_PROBES || due.size >= most) break
             val machine = machines[name]
             if (machine != null && machine.settled && !machine.deaf) continue
             if (name in probing || now - (probedUs[name] ?: Long.MIN_VALUE / 2) <= PROBE_US) continue
--- a/src/main/kotlin/lichenstage/part/WorkerClient.kt
+++ b/src/main/kotlin/lichenstage/part/WorkerClient.kt
@@ -1,24 +1,40 @@
 package lichenstage.part
 
 import io.vertx.core.Vertx
+import io.vertx.core.buffer.Buffer
+import io.vertx.core.http.HttpClientConnection
 import io.vertx.core.http.HttpClientOptions
+import io.vertx.core.http.HttpConnectOptions
 import io.vertx.core.http.HttpMethod
-import io.vertx.core.http.PoolOptions
+import io.vertx.core.http.RequestOptions
 import io.vertx.kotlin.coroutines.coAwait
 import kotlinx.coroutines.CancellationException
+import kotlinx.coroutines.withTimeoutOrNull
 import lichenstage.app.Address
-import lichenstage.app.exchange
+import lichenstage.app.Clock
+import lichenstage.app.SECOND
 import lichenstage.app.parseAddress
 
-/** Sends direct orders to workers. */
+/** Sends direct orders to workers, over connections of which [most] may be open. */
 class WorkerClient(
     vertx: Vertx,
+    private val clock: Clock,
+    most: () -> Int,
 ) {
-    private val client =
-        vertx.createHttpClient(
-            HttpClientOptions().setKeepAliveTimeout(20).setConnectTimeout(1500).setPipelining(false),
-            PoolOptions().setHttp1MaxSize(1).setMaxWaitQueueSize(2),
-        )
+    private class Answer(
+        val status: Int,
+        val body: Buffer,
+    )
+
+    private val client = vertx.createHttpClient(HttpClientOptions().setConnectTimeout(CONNECT_MS).setPipelining(false))
+    private val lines = Lines<Address, HttpClientConnection>(most) { it.close() }
+
+    init {
+        vertx.setPeriodic(SWEEP_MS) { lines.sweep(clock.now() - KEEP_US) }
+    }
+
+    /** How many more orders may be under way. */
+    val free get() = lines.free
 
     suspend fun send(
         order: DirectOrder,
@@ -48,29 +64,65 @@
         commands: List<Command>,
     ): OrderOutcome {
         var sent = false
-        return try {
-            client.exchange(HttpMethod.POST, address, "/orders", TIMEOUT_MS) { request ->
+        val answer =
+            exchange(address) { connection ->
+                val request = connection.request(REQUEST).coAwait()
                 sent = true
                 val response = request.send(WorkerCodec.orders(token, commands, session).toBuffer()).coAwait()
-                val body = response.body().coAwait()
-                val report = WorkerCodec.report(body)
-                when (response.statusCode()) {
-                    200 -> OrderOutcome.Answered(true, report)
-                    409, 400 -> OrderOutcome.Answered(false, report)
-                    else -> OrderOutcome.Unclear
-                }
-            } ?: unheard(sent)
+                Answer(response.statusCode(), response.body().coAwait())
+            }
+        return when (answer?.status) {
+            200 -> OrderOutcome.Answered(true, WorkerCodec.report(answer.body))
+
+            409, 400 -> OrderOutcome.Answered(false, WorkerCodec.report(answer.body))
+
+            // A connection attempt that was given up does not complete later; all else may still arrive.
+            null -> if (sent) OrderOutcome.Unclear else OrderOutcome.NotSent
+
+            else -> OrderOutcome.Unclear
+        }
+    }
+
+    /** One request and its answer, or null where none came in time. A connection is kept only after an answer. */
+    private suspend fun exchange(
+        address: Address,
+        talk: suspend (HttpClientConnection) -> Answer,
+    ): Answer? {
+        var connection: HttpClientConnection? = lines.take(address)
+        var answered = false
+        try {
+            return withTimeoutOrNull(TIMEOUT_MS) {
+                val line = connection ?: connect(address).also { connection = it }
+                talk(line).also { answered = true }
+            }
         } catch (e: CancellationException) {
             throw e
         } catch (_: Exception) {
-            unheard(sent)
+            return null
+        } finally {
+            if (!answered) connection?.close()
+            lines.give(address, connection.takeIf { answered }, clock.now())
         }
     }
 
-    /** A connection attempt that was given up does not complete later; all else may still arrive. */
-    private fun unheard(sent: Boolean) = if (sent) OrderOutcome.Unclear else OrderOutcome.NotSent
+    private suspend fun connect(address: Address): HttpClientConnection {
+        val pending = client.connect(HttpConnectOptions().setHost(address.host).setPort(address.port))
+        try {
+            val connection = pending.coAwait()
+            connection.closeHandler { lines.lost(address, connection) }
+            return connection
+        } catch (e: CancellationException) {
+            // One that comes after all is nobody's.
+            pending.onSuccess { it.close() }
+            throw e
+        }
+    }
 
     private companion object {
         const val TIMEOUT_MS = 3000L
+        const val CONNECT_MS = 1500
+        const val SWEEP_MS = 5000L
+        const val KEEP_US = 20 * SECOND
+        val REQUEST: RequestOptions = RequestOptions().setMethod(HttpMethod.POST).setURI("/orders")
     }
 }
--- a/src/main/kotlin/lichenstage/placement/LeaderActor.kt
+++ b/src/main/kotlin/lichenstage/placement/LeaderActor.kt
@@ -136,6 +136,7 @@
     private var loaded = false
     private var cloudBusy = false
     private var cloudCalledUs = Long.MIN_VALUE / 2
+    private var fleetAskedUs = Long.MIN_VALUE / 2
     private var describedUs = Long.MIN_VALUE / 2
     private var registryBusy = false
     private var registeredUs = Long.MIN_VALUE / 2
@@ -426,6 +427,9 @@
     private fun callCloud(now: Long) {
         if (cloudBusy || now - cloudCalledUs < (1_000_000 / (settings.cloudRps * 0.7)).toLong()) return
         if (!core.complete && catalog.flavors.isEmpty()) return
+        // What to call next looks at every machine, so it is not asked anew after every message.
+        if (now - fleetAskedUs < FLEET_US) return
+        fleetAskedUs = now
         val call = fleet.next(now) ?: return
         cloudBusy = true
         cloudCalledUs = now
@@ -455,6 +459,8 @@
      */
     private fun register(now: Long) {
         if (registryBusy || now - registeredUs < REGISTER_US) return
+        // Also where nothing is due: the search looks at every machine, and this is asked after every message.
+        registeredUs = now
         val closing = fleet.closing()
         for ((id, view) in core.unregistered()) {
             if (view.name in closing || view.name in registry) continue
@@ -463,7 +469,6 @@
         val pages = registry.due(settings.txnOps)
         if (pages.isEmpty()) return
         registryBusy = true
-        registeredUs = now
         scope.launch {
             val outcome = state.txn(mapOf(Authority.LEADER to stamp), pages.map { it.change })
             if (outcome !is Committed.Yes) delay(RETRY_MS)
@@ -493,6 +498,7 @@
         const val OBSERVE_US = 500_000L
         const val COUNT_US = 2_000_000L
         const val REGISTER_US = 300_000L
+        const val FLEET_US = 200_000L
         const val RETRY_MS = 300L
     }
 }
--- a/src/main/kotlin/lichenstage/state/StateClient.kt
+++ b/src/main/kotlin/lichenstage/state/StateClient.kt
@@ -94,11 +94,11 @@
     writeRps: Double,
     writeShare: () -> Double,
 ) {
-    private val http = JsonHttp(vertx, address, connections = 24, queue = 2000)
+    private val http = JsonHttp(vertx, address, connections = REQUESTS, queue = 2000)
 
     /** Watches stay open for long: they have connections of their own, and so have leases, so that nothing holds up a renewal. */
-    private val watches = JsonHttp(vertx, address, connections = 6, queue = 6)
-    private val leases = JsonHttp(vertx, address, connections = 3, queue = 3)
+    private val watches = JsonHttp(vertx, address, connections = WATCHES, queue = 6)
+    private val leases = JsonHttp(vertx, address, connections = LEASES, queue = 3)
     private val reads = RateBudget(clock) { rps / controllers }
     private val writes = RateBudget(clock) { writeRps * writeShare() }
 
@@ -206,6 +206,15 @@
                 JsonObject().put("delete", change.key)
             }
         }
+
+    companion object {
+        private const val REQUESTS = 24
+        private const val WATCHES = 6
+        private const val LEASES = 3
+
+        /** The most connections that this client has. */
+        const val SOCKETS = REQUESTS + WATCHES + LEASES
+    }
 }
 
 /**
--- /dev/null
+++ b/src/test/kotlin/lichenstage/app/SocketsTest.kt
@@ -0,0 +1,30 @@
+package lichenstage.app
+
+import net.jqwik.api.ForAll
+import net.jqwik.api.Property
+import net.jqwik.api.constraints.IntRange
+import org.junit.platform.commons.util.Preconditions.condition
+
+class SocketsTest {
+    /** A fleet that connects as fast as it can: workers' connections above the budget are closed with their answers. */
+    @Property(tries = 200, seed = "20261202")
+    fun `however many come, the fixed part and some for users stay free`(
+        @ForAll @IntRange(min = 300, max = 4000) most: Int,
+        @ForAll @IntRange(min = 1, max = 6000) workers: Int,
+    ) {
+        val sockets = Sockets(most, FIXED)
+        repeat(workers) {
+            sockets.opened()
+            if (sockets.crowded()) sockets.closed()
+            val taken = FIXED + sockets.served + sockets.forOrders()
+            condition(taken <= most - (most - FIXED) / 16) { "$taken of $most with ${sockets.served} served" }
+            condition(sockets.forOrders() > 0) { "no orders at all" }
+        }
+        val room = (most - FIXED) * 3 / 4
+        condition(sockets.served >= minOf(workers, room)) { "${sockets.served} served of $workers with $most sockets" }
+    }
+
+    private companion object {
+        const val FIXED = 80
+    }
+}
--- /dev/null
+++ b/src/test/kotlin/lichenstage/part/LinesTest.kt
@@ -0,0 +1,67 @@
+package lichenstage.part
+
+import net.jqwik.api.Example
+import net.jqwik.api.ForAll
+import net.jqwik.api.Property
+import net.jqwik.api.constraints.IntRange
+import org.junit.platform.commons.util.Preconditions.condition
+
+class LinesTest {
+    private val closed = ArrayList<Int>()
+    private var most = 3
+    private val lines = Lines<String, Int>({ most }) { closed += it }
+
+    @Example
+    fun `a connection is kept for its address, and the one that was used longest ago gives way`() {
+        condition(lines.take("a") == null) { "from nowhere" }
+        lines.give("a", 1, 10)
+        lines.take("b")
+        lines.give("b", 2, 20)
+        condition(lines.take("a") == 1 && closed.isEmpty()) { "not kept" }
+        lines.give("a", 1, 30)
+        lines.take("c")
+        lines.take("d")
+        condition(closed == listOf(2)) { "closed $closed" }
+        condition(lines.free == 1) { "free ${lines.free}" }
+    }
+
+    @Example
+    fun `what is idle for long, lost or there twice is not kept`() {
+        lines.take("a")
+        lines.take("a")
+        lines.give("a", 1, 10)
+        lines.give("a", 2, 11)
+        condition(closed == listOf(1)) { "twice" }
+        lines.lost("a", 1)
+        condition(lines.open == 1) { "the other one was lost" }
+        lines.sweep(11)
+        condition(lines.open == 1) { "swept too early" }
+        lines.sweep(12)
+        condition(lines.open == 0 && closed == listOf(1, 2)) { "not swept" }
+    }
+
+    /** As the controller uses it: no more in use than are free. Whatever comes, no more are open than there may be. */
+    @Property(tries = 300, seed = "20261203")
+    fun `never more are open than there may be`(
+        @ForAll steps: List<
+            @IntRange(min = 0, max = 400)
+            Int,
+        >,
+    ) {
+        closed.clear()
+        val inUse = ArrayList<Pair<String, Int>>()
+        var connections = 0
+        steps.forEachIndexed { now, step ->
+            val address = "m${step % 20}"
+            if (step < 250) {
+                if (lines.free > 0) inUse += address to (lines.take(address) ?: ++connections)
+            } else if (inUse.isNotEmpty()) {
+                val (at, connection) = inUse.removeAt(step % inUse.size)
+                lines.give(at, connection.takeIf { step % 3 > 0 }, now.toLong())
+            }
+            condition(lines.open <= most && lines.busy == inUse.size) { "${lines.open} of $most open" }
+        }
+        inUse.forEach { (at, _) -> lines.give(at, null, 0) }
+        lines.sweep(Long.MAX_VALUE)
+    }
+}
--- a/src/test/kotlin/lichenstage/part/PartCoreTest.kt
+++ b/src/test/kotlin/lichenstage/part/PartCoreTest.kt
@@ -96,6 +96,20 @@
         condition(offers == mapOf(3L to 1, 9L to 1)) { "$offers" }
     }
 
+    /** Guards against cancelled tasks that run on while starts of a burst take all connections. */
+    @Example
+    fun `where connections are few, what must stop goes before what may start`() {
+        val part = part()
+        for (name in listOf("m1", "m2")) part.report(report(5, machine = name), 1)
+        part.report(report(5, ReportedTask("j-9/0", 9, TaskPhase.RUNNING, null), machine = "m3"), 2)
+        part.leader(frame(asks = listOf(ask(1, 4))), 3)
+        val starts = listOf("m1", "m2").mapIndexed { i, name -> StartOrder(1, name, i, 10L + i) }
+        part.leader(frame(starts = starts, stops = listOf(AttemptOrder("m3", "j-9/0", 9))), 4)
+        condition(part.directOrders(5, most = 0).isEmpty()) { "sent without a connection" }
+        condition(part.directOrders(5, most = 1).map { it.machine } == listOf("m3")) { "the stop was not first" }
+        condition(part.directOrders(6, most = 9).map { it.machine } == listOf("m1", "m2")) { "the starts did not follow" }
+    }
+
     @Example
     fun `holds lapse and a start on a lapsed one is refused and told`() {
         val part = part()
--- a/src/test/kotlin/lichenstage/standin/CloudStandIn.kt
+++ b/src/test/kotlin/lichenstage/standin/CloudStandIn.kt
@@ -25,15 +25,43 @@
             .join()
     }
 
+    /** Machines that are up beforehand, spread over the zones. */
+    fun stock(count: Int): List<WorkerStandIn> = List(count) { add(zones[it % zones.size]).second }
+
+    private fun add(zone: String): Pair<String, WorkerStandIn> {
+        val name = "vm-%06d".format(machines.size)
+        val worker = boot(name, zone)
+        machines[name] = worker
+        worker.start()
+        return name to worker
+    }
+
     private fun route(request: HttpServerRequest) {
         request.bodyHandler { buffer ->
             val body = if (buffer.length() > 0) JsonObject(buffer) else JsonObject()
             val answer =
                 when (request.path()) {
-                    "/flavors" -> flavors()
-                    "/hosts/return" -> giveBack(body)
-                    "/hosts" -> if (buffer.length() > 0) hire(body) else list(request.getParam("since") ?: "")
-                    else -> JsonObject()
+                    "/flavors" -> {
+                        flavors()
+                    }
+
+                    "/hosts/return" -> {
+                        giveBack(body)
+                    }
+
+                    "/hosts" -> {
+                        if (buffer.length() >
+                            0
+                        ) {
+                            hire(body)
+                        } else {
+                            list(request.getParam("since") ?: "", request.getParam("most")?.toInt() ?: 500)
+                        }
+                    }
+
+                    else -> {
+                        JsonObject()
+                    }
                 }
             request.response().end(answer.toBuffer())
         }
@@ -61,11 +89,7 @@
         val names =
             hires.getOrPut(body.getString("hire")) {
                 JsonArray(
-                    List(body.getInteger("number")) {
-                        val name = "vm-%06d".format(machines.size)
-                        machines[name] = boot(name, body.getString("yard")).also { worker -> worker.start() }
-                        name
-                    },
+                    List(body.getInteger("number")) { add(body.getString("yard")).first },
                 )
             }
         return JsonObject().put("holdfasts", names)
@@ -76,9 +100,13 @@
         return JsonObject()
     }
 
-    private fun list(since: String): JsonObject {
+    private fun list(
+        since: String,
+        most: Int,
+    ): JsonObject {
+        val after = machines.filter { it.key > since && it.value.up }.entries
         val rows =
-            machines.filter { it.key > since && it.value.up }.map { (name, worker) ->
+            after.take(most).map { (name, worker) ->
                 JsonObject()
                     .put("uid", name)
                     .put("addr", worker.address)
@@ -88,6 +116,6 @@
                     .put("status", "running")
                     .put("age_s", 1.0)
             }
-        return JsonObject().put("holdfasts", JsonArray(rows)).put("truncated", false)
+        return JsonObject().put("holdfasts", JsonArray(rows)).put("truncated", after.size > most)
     }
 }
--- /dev/null
+++ b/src/test/kotlin/lichenstage/standin/Load.kt
@@ -0,0 +1,209 @@
+package lichenstage.standin
+
+import io.vertx.core.Vertx
+import io.vertx.core.VertxOptions
+import io.vertx.core.http.HttpClient
+import io.vertx.core.http.HttpMethod
+import io.vertx.core.http.PoolOptions
+import io.vertx.core.json.JsonArray
+import io.vertx.core.json.JsonObject
+import picocli.CommandLine
+import java.io.File
+import java.net.ServerSocket
+import java.nio.file.Files
+import java.nio.file.Path
+import java.util.Random
+import java.util.concurrent.Callable
+import java.util.concurrent.atomic.AtomicInteger
+import kotlin.system.exitProcess
+
+/**
+ * A load check on loopback, run by hand: the built jar, with the flags of the deploy file, as the one controller that is left of
+ * three, and as many workers as are asked for, all with it. After a while all of them reconnect at once, and then the process is
+ * killed and started again. What the process takes is read from the system every second.
+ */
+fun main(args: Array<String>) {
+    exitProcess(CommandLine(Load()).execute(*args))
+}
+
+@CommandLine.Command(name = "load", mixinStandardHelpOptions = true)
+private class Load : Callable<Int> {
+    @CommandLine.Option(names = ["--workers"], description = ["How many workers (default 1600)."])
+    private var workerCount = 1600
+
+    @CommandLine.Option(names = ["--phase"], description = ["Seconds of each of the three phases (default 40)."])
+    private var phaseS = 40
+
+    @CommandLine.Option(names = ["--tasks"], description = ["Tasks submitted a second (default 140)."])
+    private var tasksASecond = 140
+
+    @CommandLine.Option(names = ["--sockets"], description = ["max_sockets in the settings (default 2481)."])
+    private var maxSockets = 2481
+
+    @CommandLine.Option(names = ["--jvm"], description = ["Another flag for the process's JVM, as for a recording."])
+    private var jvm = ArrayList<String>()
+
+    private val vertx = Vertx.vertx(VertxOptions().setEventLoopPoolSize(2))
+    private val zones = listOf("a", "b", "c")
+    private val taken = HashSet<Int>()
+    private val serve = zones.map { freePort() }
+    private val cluster = zones.map { freePort() }
+    private val statePort = freePort()
+    private val cloudPort = freePort()
+    private val random = Random(1)
+    private val users: HttpClient = vertx.createHttpClient(PoolOptions().setHttp1MaxSize(40))
+    private val folder = File("target/load").apply { mkdirs() }
+    private val refused = AtomicInteger()
+    private val polls = AtomicInteger()
+    private val failedPolls = AtomicInteger()
+    private var submitted = 0
+    private var process: Process? = null
+
+    private fun freePort(): Int {
+        while (true) {
+            val port = ServerSocket(0).use { it.localPort }
+            if (taken.add(port)) return port
+        }
+    }
+
+    override fun call(): Int {
+        try {
+            StateStandIn(vertx, statePort).start()
+            val labels = zones.indices.associate { "n$it" to serve[it] }
+            val cloud =
+                CloudStandIn(vertx, cloudPort, zones) { name, zone ->
+                    val reportMs = 3_000L + random.nextInt(2_000)
+                    WorkerStandIn(vertx, name, zone, freePort(), labels, LEASE_MS, RUN_MS, reportMs, { _, _ -> }, { _, _ -> })
+                }
+            cloud.start()
+            launch()
+            val workers = cloud.stock(workerCount)
+            phase("all workers arrive", workers)
+            workers.forEach { it.reconnect() }
+            phase("all workers reconnect", workers)
+            process!!.destroyForcibly().waitFor()
+            launch()
+            phase("the process was killed and is back", workers)
+            println("sessions that ran out: ${workers.sumOf { it.expiries }}; polls: ${polls.get()}, failed: ${failedPolls.get()}")
+            return if (process!!.isAlive) 0 else 1
+        } finally {
+            process?.destroyForcibly()
+            vertx.close()
+        }
+    }
+
+    /** One line a phase: when all workers had been answered, and the most that the process took. */
+    private fun phase(
+        what: String,
+        workers: List<WorkerStandIn>,
+    ) {
+        val beganMs = System.currentTimeMillis()
+        var allMs = -1L
+        var most = Taken(0, 0, 0)
+        val before = cpuMs()
+        for (second in 1..phaseS) {
+            Thread.sleep(1_000)
+            submit()
+            repeat(POLLS) { poll() }
+            val now = taken(process!!.pid())
+            most = Taken(maxOf(most.mb, now.mb), maxOf(most.threads, now.threads), maxOf(most.sockets, now.sockets))
+            if (allMs < 0 && workers.all { it.lastAnsweredMs > beganMs }) allMs = System.currentTimeMillis() - beganMs
+        }
+        val cpu = (cpuMs() - before) / 1000.0
+        println("$what: all answered after $allMs ms; $most; $cpu s of processor time in $phaseS s")
+    }
+
+    private fun submit() {
+        val tasks = tasksASecond / 2
+        repeat(2) {
+            val id = ++submitted
+            users
+                .request(HttpMethod.POST, serve[0], "127.0.0.1", "/api/jobs")
+                .compose { it.send(submission(id, tasks, "red", RUN_MS / 1000.0).toBuffer()) }
+                .compose { response -> response.body().map { response.statusCode() } }
+                .onComplete { if (!it.succeeded() || it.result() != 201) refused.incrementAndGet() }
+        }
+    }
+
+    private fun poll() {
+        polls.incrementAndGet()
+        users
+            .request(HttpMethod.GET, serve[0], "127.0.0.1", "/api/jobs/j-${1 + random.nextInt(submitted)}")
+            .compose { it.send() }
+            .compose { response -> response.body().map { response.statusCode() } }
+            .onComplete { if (!it.succeeded() || it.result() !in setOf(200, 404)) failedPolls.incrementAndGet() }
+    }
+
+    private data class Taken(
+        val mb: Long,
+        val threads: Long,
+        val sockets: Int,
+    ) {
+        override fun toString() = "$mb MB, $threads threads, $sockets sockets at the most"
+    }
+
+    private fun taken(pid: Long): Taken {
+        val status = File("/proc/$pid/status").readLines()
+
+        fun number(key: String) =
+            status
+                .first { it.startsWith(key) }
+                .filter { it.isDigit() }
+                .toLong()
+        val sockets =
+            File("/proc/$pid/fd").list().orEmpty().count {
+                runCatching { Files.readSymbolicLink(Path.of("/proc/$pid/fd/$it")).toString().startsWith("socket") }.getOrDefault(false)
+            }
+        return Taken(number("VmRSS") / 1024, number("Threads"), sockets)
+    }
+
+    private fun cpuMs(): Long =
+        process!!
+            .info()
+            .totalCpuDuration()
+            .map { it.toMillis() }
+            .orElse(0)
+
+    private fun launch() {
+        val run = deployedRun()
+        val file = File(folder, "n0.json").apply { writeText(settings().encodePrettily()) }
+        val command = listOf(run.first()) + jvm + run.drop(1) + file.path
+        val log = ProcessBuilder.Redirect.appendTo(File(folder, "n0.log"))
+        process = ProcessBuilder(command).redirectErrorStream(true).redirectOutput(log).start()
+    }
+
+    private fun settings(): JsonObject {
+        val seeds =
+            listOf(1, 2).map { JsonObject().put("label", "n$it").put("area", zones[it]).put("addr", "127.0.0.1:${cluster[it]}") }
+        val common =
+            JsonObject()
+                .put("count", 3)
+                .put("zones", JsonArray(zones))
+                .put("teams", JsonArray().add(JsonObject().put("name", "red")))
+                .put("objectives", JsonArray())
+                .put("workers", JsonObject().put("report_s", 4.0).put("lease_s", LEASE_MS / 1000.0).put("cancel_s", 50.0))
+                .put(
+                    "state",
+                    JsonObject()
+                        .put("rps", 300.0)
+                        .put("write_rps", 120.0)
+                        .put("value_kb", 16.0)
+                        .put("txn_ops", 48),
+                ).put("cloud", JsonObject().put("rps", 10.0).put("list_lag_s", 1.0))
+                .put("machine_limits", JsonObject().put("core_share", 0.187).put("memory_mb", 365.0).put("max_sockets", maxSockets))
+        return JsonObject()
+            .put("label", "n0")
+            .put("area", zones[0])
+            .put("serve_on", "127.0.0.1:${serve[0]}")
+            .put("cluster_listen", "127.0.0.1:${cluster[0]}")
+            .put("seeds", JsonArray(seeds))
+            .put("endpoints", JsonObject().put("cloud", "127.0.0.1:$cloudPort").put("state", "127.0.0.1:$statePort"))
+            .put("settings", common)
+    }
+
+    private companion object {
+        const val LEASE_MS = 22_000L
+        const val RUN_MS = 12_000L
+        const val POLLS = 60
+    }
+}
--- a/src/test/kotlin/lichenstage/standin/Smoke.kt
+++ b/src/test/kotlin/lichenstage/standin/Smoke.kt
@@ -20,15 +20,18 @@
  * kills the process that leads, and looks that no task was on two machines. Ends with the count of what passed.
  */
 fun main() {
-    val run =
-        File("deploy/service.toml")
-            .readLines()
-            .first { it.startsWith("run = ") }
-            .substringAfter('"')
-            .substringBeforeLast('"')
-    exitProcess(Smoke(run.split(' ')).run())
+    exitProcess(Smoke(deployedRun()).run())
 }
 
+/** The program and its arguments as the deploy file names them; the settings file comes after. */
+internal fun deployedRun(): List<String> =
+    File("deploy/service.toml")
+        .readLines()
+        .first { it.startsWith("run = ") }
+        .substringAfter('"')
+        .substringBeforeLast('"')
+        .split(' ')
+
 private class Smoke(
     private val command: List<String>,
 ) {
@@ -65,7 +68,7 @@
             StateStandIn(vertx, statePort).start()
             val labels = zones.indices.associate { "n$it" to ports[it].first }
             CloudStandIn(vertx, cloudPort, zones) { name, zone ->
-                WorkerStandIn(vertx, name, zone, freePort(), labels, 20_000, 400, ::started, ::ended)
+                WorkerStandIn(vertx, name, zone, freePort(), labels, 20_000, 400, 300, ::started, ::ended)
             }.start()
             zones.indices.forEach(::launch)
             check("all become healthy") { eventually { zones.indices.all { status(it, "GET", "/healthz") == 200 } } }
@@ -195,25 +198,7 @@
         id: Int,
         tasks: Int,
         team: String = "red",
-    ) = JsonObject()
-        .put("uid", "j-$id")
-        .put("batchline", "x")
-        .put("owner", team)
-        .put("shape", "batch")
-        .put("urgency", "high")
-        .put("parts", tasks)
-        .put("cores", 1.0)
-        .put("cards", 0.0)
-        .put("mem_gb", 1.0)
-        .put("bundle", "i")
-        .put("image_gb", 0.1)
-        .put("same_place", false)
-        .put("spread", false)
-        .put("loaners", true)
-        .put("guess_s", 1.0)
-        .put("snapshot_every_s", 0.0)
-        .put("snapshot_s", 0.0)
-        .encode()
+    ) = submission(id, tasks, team, guessS = 1.0).encode()
 
     private fun answer(
         node: Int,
--- a/src/test/kotlin/lichenstage/standin/WorkerStandIn.kt
+++ b/src/test/kotlin/lichenstage/standin/WorkerStandIn.kt
@@ -7,7 +7,10 @@
 import io.vertx.core.json.JsonArray
 import io.vertx.core.json.JsonObject
 
-/** A worker on loopback: reports, obeys orders under the highest token, and runs tasks of [runMs]. */
+/**
+ * A worker on loopback: reports every [reportMs] and half a second after a change, obeys orders under the highest token, and
+ * runs tasks of [runMs].
+ */
 class WorkerStandIn(
     private val vertx: Vertx,
     private val name: String,
@@ -16,6 +19,7 @@
     private val controllers: Map<String, Int>,
     private val leaseMs: Long,
     private val runMs: Long,
+    private val reportMs: Long,
     private val onStart: (task: String, machine: String) -> Unit,
     private val onEnd: (task: String, machine: String) -> Unit,
 ) {
@@ -24,7 +28,7 @@
         var cause: String?,
     )
 
-    private val client: HttpClient = vertx.createHttpClient()
+    private var client: HttpClient = vertx.createHttpClient()
     private var server: HttpServer? = null
     private val labels = controllers.keys.toList()
     private var target = labels.first()
@@ -33,6 +37,13 @@
     private var sequence = 0L
     private var answeredMs = System.currentTimeMillis()
     private val tasks = LinkedHashMap<Pair<String, Long>, Task>()
+    private var timer = 0L
+    private var beatMs = 0L
+    private var underWay = false
+
+    /** How often its lease ran out, and when a report was last answered. */
+    val expiries get() = session - 1
+    val lastAnsweredMs get() = answeredMs
     val address = "127.0.0.1:$port"
     var up = false
         private set
@@ -86,9 +97,29 @@
             .put("parts", JsonArray(rows))
     }
 
+    /** Drops the connection to its controller and reports at once over a new one, as after a restart of the network. */
+    fun reconnect() {
+        client.close()
+        client = vertx.createHttpClient()
+        underWay = false
+        beat()
+    }
+
+    /** A change is reported sooner than the next report is due, but not more often than every half second. */
+    private fun changed() {
+        if (reportMs > CHANGE_MS) nextBeat(maxOf(1, beatMs + CHANGE_MS - System.currentTimeMillis()))
+    }
+
+    private fun nextBeat(ms: Long) {
+        vertx.cancelTimer(timer)
+        timer = vertx.setTimer(ms) { beat() }
+    }
+
     private fun beat() {
-        if (!up) return
+        if (!up || underWay) return
         val sentMs = System.currentTimeMillis()
+        underWay = true
+        beatMs = sentMs
         if (sentMs - answeredMs > leaseMs) {
             forget()
             session++
@@ -96,27 +127,31 @@
             answeredMs = sentMs
         }
         val forSession = session
+        val over = client
         client
             .request(HttpMethod.POST, controllers.getValue(target), "127.0.0.1", "/agent/beat")
             .compose { it.send(report().toBuffer()) }
             .compose { response -> response.body().map { response.statusCode() to it } }
             .onComplete { answer ->
+                // Of a connection that was dropped meanwhile nothing is heard.
+                if (over !== client) return@onComplete
+                underWay = false
                 val (status, body) = if (answer.succeeded()) answer.result() else (0 to null)
                 when {
                     status == 200 && JsonObject(body).getLong("warrant") >= token && forSession == session -> {
                         answeredMs = sentMs
                         obey(JsonObject(body))
-                        vertx.setTimer(300) { beat() }
+                        nextBeat(reportMs)
                     }
 
                     status == 421 && JsonObject(body).getString("steward") in controllers -> {
                         target = JsonObject(body).getString("steward")
-                        vertx.setTimer(50) { beat() }
+                        nextBeat(50)
                     }
 
                     else -> {
                         target = labels[(labels.indexOf(target) + 1) % labels.size]
-                        vertx.setTimer(300) { beat() }
+                        nextBeat(minOf(reportMs, 1000))
                     }
                 }
             }
@@ -140,6 +175,7 @@
         val task = Task("running", null)
         tasks[key] = task
         onStart(key.first, name)
+        changed()
         vertx.setTimer(runMs) { if (tasks[key] === task) end(key, task, "done") }
     }
 
@@ -152,5 +188,10 @@
         task.status = "ended"
         task.cause = cause
         onEnd(key.first, name)
+        changed()
+    }
+
+    private companion object {
+        const val CHANGE_MS = 500L
     }
 }
