--- a/src/main/kotlin/lichenstage/app/Controller.kt
+++ b/src/main/kotlin/lichenstage/app/Controller.kt
@@ -54,11 +54,20 @@
     private val cloud = CloudClient(vertx, settings.cloud)
     private val catalog = Catalog(cloud, state, scope)
     private val authority: Authority = Authority(settings, state, clock, scope, { to, frame -> links.send(to, frame) }, ::viewChanged)
-    private val links: Links = Links(vertx, settings, clock, scope, authority::stateAnswers, ::received)
+    private val links: Links =
+        Links(vertx, settings, clock, scope, authority::stateAnswers, metrics.counter("frames"), metrics.counter("frame_bytes"), ::received)
     private val forwarder = Forwarder({ links.peerWithState() }) { to, frame -> links.send(to, frame) }
     private val jobs = JobsActor(state, settings.txnOps, catalog, settings.teams, authority::stateAnswers, forwarder, scope)
     private val part =
-        PartActor(settings, authority, clock, scope, WorkerClient(vertx, clock, sockets::forOrders), catalog::build, ::toLeader)
+        PartActor(
+            settings,
+            authority,
+            clock,
+            scope,
+            WorkerClient(vertx, clock, metrics.counter("orders"), sockets::forOrders),
+            catalog::build,
+            ::toLeader,
+        )
     private val api = HttpApi(vertx, settings.listen, jobs, part, metrics, clock, sockets, ::healthy)
     private var leader: LeaderActor? = null
 
@@ -76,6 +85,7 @@
         authority.start()
         catalog.start()
         jobs.start()
+        if (log.isDebugEnabled) scope.launch { describe() }
         scope.launch {
             while (isActive) {
                 delay(HAND_BACK_MS)
@@ -87,6 +97,13 @@
         }
     }
 
+    private suspend fun describe() {
+        while (true) {
+            delay(DESCRIBE_MS)
+            log.debug("{}", metrics.text().replace('\n', ';'))
+        }
+    }
+
     /** The leader records what is done and which machines there are; the others write for their users alone. */
     private fun writeShare(): Double {
         val other = OTHERS_SHARE / controllers
@@ -158,6 +175,7 @@
 
     private companion object {
         const val HAND_BACK_MS = 3_000L
+        const val DESCRIBE_MS = 10_000L
 
         /** Both ways to another controller, each with one that is just being replaced. */
         const val PEER_SOCKETS = 4
--- a/src/main/kotlin/lichenstage/app/Metrics.kt
+++ b/src/main/kotlin/lichenstage/app/Metrics.kt
@@ -10,7 +10,6 @@
 class Metrics {
     private val registry = SimpleMeterRegistry()
     private val requests = HashMap<String, Timer>()
-    private val counters = HashMap<String, Counter>()
 
     fun gauge(
         name: String,
@@ -19,7 +18,7 @@
         Gauge.builder("lichenstage.$name", value).register(registry)
     }
 
-    fun count(name: String) = counters.getOrPut(name) { registry.counter("lichenstage.$name") }.increment()
+    fun counter(name: String): Counter = registry.counter("lichenstage.$name")
 
     /** A request of users or workers took [micros] until its answer was written. */
     fun served(
--- a/src/main/kotlin/lichenstage/cluster/Links.kt
+++ b/src/main/kotlin/lichenstage/cluster/Links.kt
@@ -1,5 +1,6 @@
 package lichenstage.cluster
 
+import io.micrometer.core.instrument.Counter
 import io.vertx.core.Vertx
 import io.vertx.core.buffer.Buffer
 import io.vertx.core.net.NetClientOptions
@@ -26,6 +27,8 @@
     private val clock: Clock,
     private val scope: CoroutineScope,
     private val stateAnswers: () -> Boolean,
+    private val frames: Counter,
+    private val frameBytes: Counter,
     private val received: (String, Frame) -> Unit,
 ) {
     private val log = LoggerFactory.getLogger("lichenstage.cluster")
@@ -91,6 +94,8 @@
 
     private fun packed(frame: Frame): Buffer {
         val bytes = FrameCodec.encode(frame)
+        frames.increment()
+        frameBytes.increment(bytes.size.toDouble())
         return Buffer.buffer(bytes.size + 4).appendInt(bytes.size).appendBytes(bytes)
     }
 
--- a/src/main/kotlin/lichenstage/part/WorkerClient.kt
+++ b/src/main/kotlin/lichenstage/part/WorkerClient.kt
@@ -1,5 +1,6 @@
 package lichenstage.part
 
+import io.micrometer.core.instrument.Counter
 import io.vertx.core.Vertx
 import io.vertx.core.buffer.Buffer
 import io.vertx.core.http.HttpClientConnection
@@ -19,6 +20,7 @@
 class WorkerClient(
     vertx: Vertx,
     private val clock: Clock,
+    private val orders: Counter,
     most: () -> Int,
 ) {
     private class Answer(
@@ -64,6 +66,7 @@
         commands: List<Command>,
     ): OrderOutcome {
         var sent = false
+        orders.increment()
         val answer =
             exchange(address) { connection ->
                 val request = connection.request(REQUEST).coAwait()
