--- a/src/main/kotlin/lichenstage/app/HttpApi.kt
+++ b/src/main/kotlin/lichenstage/app/HttpApi.kt
@@ -50,6 +50,8 @@
             .setHttp2ClearTextEnabled(false)
             .setPerFrameWebSocketCompressionSupported(false)
             .setPerMessageWebSocketCompressionSupported(false)
+            // All is done on the one event loop, so that nothing has to be queued between it and itself.
+            .setStrictThreadMode(true)
 
     private fun route(request: HttpServerRequest) {
         val path = request.path()
--- a/src/main/kotlin/lichenstage/app/Loop.kt
+++ b/src/main/kotlin/lichenstage/app/Loop.kt
@@ -35,10 +35,8 @@
         val now = clock.now()
         val busy = now - wokeUs < pauseUs * BUSY_PAUSES
         wokeUs = now
-        if (!busy) return SelectStrategy.SELECT
-        pause(pauseUs)
-        val ready = select()
-        return if (ready > 0) ready else SelectStrategy.SELECT
+        if (busy) pause(pauseUs)
+        return SelectStrategy.SELECT
     }
 
     private companion object {
