--- a/src/main/kotlin/lichenstage/app/Mailbox.kt
+++ b/src/main/kotlin/lichenstage/app/Mailbox.kt
@@ -9,15 +9,20 @@
 /**
  * The inbox of an actor: messages are handled one after the other, in the order of arrival.
  *
- * Guards against a process left half alive: an actor that fails, or whose inbox overflows, ends the process, which the
- * platform starts again. All that matters is in the state service or on the workers.
+ * Guards against a process left half alive: an actor that fails ends the process, which the platform starts again. All that matters
+ * is in the state service or on the workers. Where the inbox is full, [shed] says whether the message can be done without, and has
+ * its sender told; thousands of reports that a cut has held back are no reason to end. What is bounded elsewhere can't be shed, and
+ * an inbox that overflows with that ends the process.
  */
 class Mailbox<M : Any>(
     private val name: String,
     scope: CoroutineScope,
     handle: (M) -> Unit,
+    capacity: Int = CAPACITY,
+    private val shed: (M) -> Boolean = { false },
 ) {
-    private val inbox = Channel<M>(CAPACITY)
+    private val inbox = Channel<M>(capacity)
+    private var told = false
 
     init {
         scope.launch {
@@ -32,7 +37,11 @@
     }
 
     fun tell(message: M) {
-        if (inbox.trySend(message).isFailure) die("$name: the inbox is full", null)
+        if (inbox.trySend(message).isSuccess) return
+        if (!shed(message)) die("$name: the inbox is full", null)
+        if (told) return
+        told = true
+        LoggerFactory.getLogger("lichenstage.app").error("{}: the inbox is full; what can come again is turned away", name)
     }
 
     private companion object {
--- a/src/main/kotlin/lichenstage/jobs/JobsActor.kt
+++ b/src/main/kotlin/lichenstage/jobs/JobsActor.kt
@@ -65,7 +65,7 @@
     private val openCheck = OpenCheck(txnOps * GUARDS_A_CHANGE, scope) { state.txn(it, emptyList(), COMPARE_TIMEOUT_MS) }
     private var counts = Counts(0, emptyMap())
     private var open = 0
-    private val mailbox = Mailbox<JobsMessage>("jobs", scope, ::handle)
+    private val mailbox = Mailbox("jobs", scope, ::handle, shed = ::shed)
 
     /** After a start in the middle of a busy day all users ask at once: the open records are learned beforehand. */
     fun start() {
@@ -81,6 +81,12 @@
 
     fun tell(message: JobsMessage) = mailbox.tell(message)
 
+    /** Users are told to come again, counts come again. */
+    private fun shed(message: JobsMessage): Boolean {
+        if (message is JobsMessage.Asked) message.reply(later("busy", 2))
+        return true
+    }
+
     private fun handle(message: JobsMessage) {
         when (message) {
             is JobsMessage.Asked -> work(message.reply) { answer(message) }
--- a/src/main/kotlin/lichenstage/part/PartActor.kt
+++ b/src/main/kotlin/lichenstage/part/PartActor.kt
@@ -66,7 +66,7 @@
     private val log = LoggerFactory.getLogger("lichenstage.part")
     private val parting = settings.parting
     private val parts = HashMap<String, PartCore>()
-    private val mailbox = Mailbox<PartMessage>("part", scope, ::handle)
+    private val mailbox = Mailbox("part", scope, ::handle, shed = ::shed)
 
     init {
         scope.launch {
@@ -81,6 +81,12 @@
 
     val machineCount get() = parts.values.sumOf { it.machineCount }
 
+    /** Reports and frames come again. */
+    private fun shed(message: PartMessage): Boolean {
+        if (message is PartMessage.Beat) message.answer(WorkerAnswer.NotNow)
+        return message is PartMessage.Beat || message is PartMessage.FromLeader || message is PartMessage.Tick
+    }
+
     private fun handle(message: PartMessage) {
         val now = clock.now()
         when (message) {
--- a/src/main/kotlin/lichenstage/placement/LeaderActor.kt
+++ b/src/main/kotlin/lichenstage/placement/LeaderActor.kt
@@ -132,7 +132,7 @@
     private val registry = Registry(settings.valueBytes)
     private val forecast = Forecast(clock.now())
     private val fleet = FleetCore(term, policy, forecast)
-    private val mailbox = Mailbox<LeaderMessage>("leader", scope, ::handle)
+    private val mailbox = Mailbox("leader", scope, ::handle, shed = { it is LeaderMessage.FromPart || it is LeaderMessage.Tick })
     private var loaded = false
     private var cloudBusy = false
     private var cloudCalledUs = Long.MIN_VALUE / 2
