--- a/src/main/kotlin/lichenstage/placement/LeaderCore.kt
+++ b/src/main/kotlin/lichenstage/placement/LeaderCore.kt
@@ -15,10 +15,8 @@
 import lichenstage.cluster.StartOrder
 import lichenstage.cluster.TaskPhase
 import lichenstage.cluster.TaskView
-import lichenstage.jobs.DoneRanges
 import lichenstage.jobs.JobSpec
 import org.slf4j.LoggerFactory
-import java.util.BitSet
 
 /** What can be tuned in placement. */
 data class Timers(
@@ -63,7 +61,7 @@
     private val timers: Timers,
     private val goals: Goals,
     private val capacityOf: (String) -> Shape?,
-    private val batch: Int,
+    batch: Int,
     private val fetchUs: (JobSpec) -> Long = { 0 },
     private val emit: (Effect) -> Unit,
 ) {
@@ -92,9 +90,7 @@
     /** Machines on which something runs that counts for no team: its job has no record any more, or it should not be there. */
     private val strange = HashMap<String, String>()
     private val seqs = HashMap<String, Long>()
-    private val informedBy = HashMap<String, Long>()
-    private val closedTold = HashMap<String, Set<String>>()
-    private val closedToldUs = HashMap<String, Long>()
+    private val briefing = Briefing()
     private val sentUs = HashMap<String, Long>()
     private val poked = HashSet<String>()
     private var attemptCounter = 0L
@@ -104,9 +100,7 @@
     private var askedUs = Long.MIN_VALUE / 2
     private var sweptUs = Long.MIN_VALUE / 2
 
-    /** Jobs with tasks that are done but not recorded, with when that began, the oldest first. */
-    private val unrecorded = LinkedHashMap<Job, Long>()
-    private var rangesUnderWay = false
+    private val recorder = Recorder(batch, timers.flushUs, emit)
     private var cores = 0.0
 
     /** Every registered machine is accounted for, so what isn't known to run doesn't (invariant 5). */
@@ -152,7 +146,7 @@
         val fresh = job.stamp > stamp
         if (complete || fresh) job.open()
         if (!fresh) parts.keys.forEach { adopt(job, it) }
-        if (job.complete) unrecorded.putIfAbsent(job, Long.MIN_VALUE / 2)
+        if (job.complete) recorder.note(job, Long.MIN_VALUE / 2)
     }
 
     /** The record of the job is gone: cancelled, or done by what an earlier leader wrote. */
@@ -161,7 +155,7 @@
         if (job.phase == JobPhase.CLOSED) return
         job.phase = JobPhase.CLOSED
         job.pending.clear()
-        unrecorded.remove(job)
+        recorder.over(job)
         review(job)
         forgetIfOver(job)
     }
@@ -236,7 +230,7 @@
         if (task.phase == TaskPhase.ENDED) {
             if (task.cause == "done" && job.did(index)) {
                 learn(known?.takeIf { mine }, now)
-                if (job.phase == JobPhase.OPEN) unrecorded.putIfAbsent(job, now)
+                if (job.phase == JobPhase.OPEN) recorder.note(job, now)
             } else if (mine && task.cause != "done") {
                 failed(job, view, task, now)
             }
@@ -347,7 +341,7 @@
         val current = round
         if (current != null && (current.heardFrom(reachable(now)) || now >= current.deadlineUs)) decide(current, now)
         if (round == null && now - askedUs >= if (worthAsking) timers.paceUs else timers.retryUs) ask(now)
-        record(now)
+        recorder.record(now)
         for (id in parting.parts) {
             val waitedUs = now - (sentUs[id] ?: Long.MIN_VALUE / 2)
             if ((id in poked && waitedUs >= ACK_US) || waitedUs >= HEARTBEAT_US) send(id, now)
@@ -524,62 +518,14 @@
     /** Unique and rising over leaders, with no write: the term is the high part (invariant 7). */
     private fun newAttempt() = (term shl 32) + ++attemptCounter
 
-    /**
-     * Has recorded what is done: the end of a job at once, ranges in one batch after the other, the oldest first. Ranges take
-     * what writes the rest leaves, so that the more jobs there are, the longer each waits.
-     */
-    private fun record(now: Long) {
-        if (unrecorded.isEmpty()) return
-        for (job in unrecorded.keys.filter { it.complete && !it.finishUnderWay }) {
-            job.finishUnderWay = true
-            emit(Effect.Finish(job))
-        }
-        if (rangesUnderWay) return
-        val news = ArrayList<DoneNews>()
-        var writes = 0
-        for ((job, sinceUs) in unrecorded) {
-            if (now - sinceUs < timers.flushUs || writes >= batch) break
-            if (job.complete) continue
-            val covers = job.done.clone() as BitSet
-            val chunks = changedChunks(job, covers)
-            if (writes + chunks.size > batch && news.isNotEmpty()) break
-            writes += chunks.size
-            news += DoneNews(job, covers, chunks)
-        }
-        if (news.isEmpty()) return
-        rangesUnderWay = true
-        news.forEach {
-            unrecorded.remove(it.job)
-            it.job.rangesUnderWay = true
-        }
-        emit(Effect.WriteRanges(news))
-    }
-
-    private fun changedChunks(
-        job: Job,
-        covers: BitSet,
-    ): List<Int> {
-        val news = (covers.clone() as BitSet).apply { andNot(job.durable) }
-        return (0 until DoneRanges.chunks(job.spec.tasks)).filter {
-            val next = news.nextSetBit(it * DoneRanges.CHUNK)
-            next >= 0 && next < (it + 1) * DoneRanges.CHUNK
-        }
-    }
-
     /** The record holds what [news] covers; workers may now forget these tasks (invariant 9). */
     fun rangesWritten(
         news: List<DoneNews>,
         ok: Boolean,
         now: Long,
     ) {
-        rangesUnderWay = false
-        for ((job, covers) in news) {
-            job.rangesUnderWay = false
-            if (ok) job.durable.or(covers)
-            if (job.phase != JobPhase.OPEN) continue
-            if (job.done.cardinality() != job.durable.cardinality()) unrecorded.putIfAbsent(job, now)
-            if (ok) review(job)
-        }
+        recorder.written(news, ok, now)
+        if (ok) news.forEach { if (it.job.phase == JobPhase.OPEN) review(it.job) }
     }
 
     fun finished(
@@ -596,7 +542,7 @@
             (now - job.arrivedUs) / MILLI,
         )
         job.finishUnderWay = false
-        unrecorded.remove(job)
+        recorder.over(job)
         job.phase = JobPhase.CLOSED
         review(job)
         forgetIfOver(job)
@@ -629,7 +575,7 @@
         sentUs[id] = now
         poked -= id
         val part = parts[id]
-        val inform = !informed(id, part, seq)
+        val inform = !briefing.informed(id, part, seq)
         val (stops, clears) = orders.take(id, now)
         val frame =
             LeaderFrame(
@@ -645,38 +591,12 @@
                 releases = releases,
                 stops = stops,
                 clears = clears,
-                closed = closedNews(id, part, now),
+                closed = briefing.closedNews(id, part, now) { it in closed || it !in registry },
             )
         emit(Effect.Send(id, frame))
         return seq
     }
 
-    /** What is known of jobs and machines goes to a part until it has shown that it got it; later jobs come with requests. */
-    private fun informed(
-        id: String,
-        part: PartState?,
-        seq: Long,
-    ): Boolean {
-        val first = informedBy.getOrPut("$id ${part?.term}") { seq }
-        return part != null && part.heardSeq >= first
-    }
-
-    /** The machines of a part that get no tasks, where that has changed or was told long ago. */
-    private fun closedNews(
-        id: String,
-        part: PartState?,
-        now: Long,
-    ): Set<String>? {
-        if (part == null) return null
-        val due = now - (closedToldUs[id] ?: Long.MIN_VALUE / 2)
-        if (due < CLOSED_US) return null
-        val here = part.machines.keys.filterTo(HashSet()) { it in closed || it !in registry }
-        if (here == closedTold[id] && due < CLOSED_AGAIN_US) return null
-        closedTold[id] = here
-        closedToldUs[id] = now
-        return here
-    }
-
     /** Finds what a machine still has to stop and to clear, and whether something on it is a stranger's. */
     private fun collect(
         id: String,
@@ -721,8 +641,6 @@
         const val ACK_US = 100 * MILLI
         const val SWEEP_US = SECOND
         const val REACHABLE_US = 2500 * MILLI
-        const val CLOSED_US = 300 * MILLI
-        const val CLOSED_AGAIN_US = 4 * SECOND
         const val HURRY_US = 8 * SECOND
         const val MOST_PATIENCE_US = 3 * SECOND
     }
--- /dev/null
+++ b/src/main/kotlin/lichenstage/placement/Recorder.kt
@@ -0,0 +1,83 @@
+package lichenstage.placement
+
+import lichenstage.jobs.DoneRanges
+import java.util.BitSet
+
+/** What the leader has recorded of the tasks that are done, in batches of at most [batch] changes, each after [flushUs] at the earliest. */
+class Recorder(
+    private val batch: Int,
+    private val flushUs: Long,
+    private val emit: (Effect) -> Unit,
+) {
+    /** Jobs with tasks that are done but not recorded, with when that began, the oldest first. */
+    private val unrecorded = LinkedHashMap<Job, Long>()
+    private var rangesUnderWay = false
+
+    /** Something of the job is done that is not recorded, since [sinceUs] unless it was known already. */
+    fun note(
+        job: Job,
+        sinceUs: Long,
+    ) {
+        unrecorded.putIfAbsent(job, sinceUs)
+    }
+
+    /** The job's end is recorded. */
+    fun over(job: Job) {
+        unrecorded.remove(job)
+    }
+
+    /**
+     * Has recorded what is done: the end of a job at once, ranges in one batch after the other, the oldest first. Ranges take
+     * what writes the rest leaves, so that the more jobs there are, the longer each waits.
+     */
+    fun record(now: Long) {
+        if (unrecorded.isEmpty()) return
+        for (job in unrecorded.keys.filter { it.complete && !it.finishUnderWay }) {
+            job.finishUnderWay = true
+            emit(Effect.Finish(job))
+        }
+        if (rangesUnderWay) return
+        val news = ArrayList<DoneNews>()
+        var writes = 0
+        for ((job, sinceUs) in unrecorded) {
+            if (now - sinceUs < flushUs || writes >= batch) break
+            if (job.complete) continue
+            val covers = job.done.clone() as BitSet
+            val chunks = changedChunks(job, covers)
+            if (writes + chunks.size > batch && news.isNotEmpty()) break
+            writes += chunks.size
+            news += DoneNews(job, covers, chunks)
+        }
+        if (news.isEmpty()) return
+        rangesUnderWay = true
+        news.forEach {
+            unrecorded.remove(it.job)
+            it.job.rangesUnderWay = true
+        }
+        emit(Effect.WriteRanges(news))
+    }
+
+    private fun changedChunks(
+        job: Job,
+        covers: BitSet,
+    ): List<Int> {
+        val news = (covers.clone() as BitSet).apply { andNot(job.durable) }
+        return (0 until DoneRanges.chunks(job.spec.tasks)).filter {
+            val next = news.nextSetBit(it * DoneRanges.CHUNK)
+            next >= 0 && next < (it + 1) * DoneRanges.CHUNK
+        }
+    }
+
+    fun written(
+        news: List<DoneNews>,
+        ok: Boolean,
+        now: Long,
+    ) {
+        rangesUnderWay = false
+        for ((job, covers) in news) {
+            job.rangesUnderWay = false
+            if (ok) job.durable.or(covers)
+            if (job.phase == JobPhase.OPEN && job.done.cardinality() != job.durable.cardinality()) note(job, now)
+        }
+    }
+}
