--- a/src/main/kotlin/lichenstage/part/PartCore.kt
+++ b/src/main/kotlin/lichenstage/part/PartCore.kt
@@ -482,26 +482,43 @@
         asks: List<Ask>,
         now: Long,
     ) {
+        if (asks.isEmpty()) return
+        asks.forEach { facts[it.job] = it.facts }
         val got = HashMap<String, Int>()
+        val open = open(asks, now)
         for (ask in asks) {
-            val offer = grant(ask, ask.count - (got[ask.job] ?: 0), now)
+            val offer = grant(ask, ask.count - (got[ask.job] ?: 0), open, now)
             got.merge(ask.job, offer.held.sumOf { it.count }, Int::plus)
             offers += offer
         }
     }
 
-    /** Holds room for as many tasks of the request as fit, up to [most], on the roomiest machines. */
+    /**
+     * Machines with room for the smallest of the requests. Where there is a backlog nearly all are full, and dozens of requests that
+     * each look at every machine would cost more than all else that a part does.
+     */
+    private fun open(
+        asks: List<Ask>,
+        now: Long,
+    ): List<Machine> {
+        val shapes = asks.map { it.facts.shape }
+        val least = Shape(shapes.minOf { it.cores }, shapes.minOf { it.cards }, shapes.minOf { it.memGb })
+        return machines.values.filter { machine ->
+            usable(machine) && machine.name !in closed && now - machine.heardUs <= reportUs * 5 / 2 &&
+                buildOf(machine.build)?.let { machine.room(least, it.capacity, factsOf) > 0 } == true
+        }
+    }
+
+    /** Holds room for as many tasks of the request as fit, up to [most], on the roomiest of the [open] machines. */
     private fun grant(
         ask: Ask,
         most: Int,
+        open: List<Machine>,
         now: Long,
     ): Offer {
         if (ask.zone != null && ask.zone != zone) return Offer(ask.stamp, emptyList())
-        facts[ask.job] = ask.facts
         val fitting = ArrayList<Held>()
-        for (machine in machines.values) {
-            if (!usable(machine) || machine.name in closed) continue
-            if (now - machine.heardUs > reportUs * 5 / 2) continue
+        for (machine in open) {
             if ((ask.builds != null && machine.build !in ask.builds) || (machine.spot && !ask.spot)) continue
             val warm = machine.warm(ask.facts.image)
             if (ask.warmOnly && !warm) continue
--- a/src/test/kotlin/lichenstage/part/PartCoreTest.kt
+++ b/src/test/kotlin/lichenstage/part/PartCoreTest.kt
@@ -110,6 +110,28 @@
         condition(part.directOrders(6, most = 9).map { it.machine } == listOf("m1", "m2")) { "the starts did not follow" }
     }
 
+    /** Counted, not timed: in a backlog dozens of requests come with each frame, and nearly all machines are full. */
+    @Example
+    fun `requests look at a full machine once, however many there are`() {
+        for (machines in listOf(400, 1600)) {
+            var looks = 0
+            val part =
+                PartCore("z/0", "z", 5, LEASE, 3 * SECOND, 0) {
+                    looks++
+                    Build("t", Shape(8.0, 0.0, 64.0))
+                }
+            part.leader(frame(asks = listOf(ask(1, 0))), 1)
+            val busy = listOf(1L, 2L).map { ReportedTask("j-1/$it", it, TaskPhase.RUNNING, null) }.toTypedArray()
+            repeat(machines) { part.report(report(5, *busy, machine = "m$it"), 1) }
+            part.report(report(5, machine = "free"), 1)
+            looks = 0
+            part.leader(frame(asks = (1L..24L).map { ask(10 + it, 1).copy(job = "j-$it") }), 2)
+            condition(looks in machines..machines + 1 + 24) { "$looks looks at $machines machines" }
+            val held = part.frame(3)!!.offers.sumOf { offer -> offer.held.sumOf { it.count } }
+            condition(held == 2) { "$held held on the one that is free" }
+        }
+    }
+
     @Example
     fun `holds lapse and a start on a lapsed one is refused and told`() {
         val part = part()
