--- a/src/main/kotlin/lichenstage/app/Sockets.kt
+++ b/src/main/kotlin/lichenstage/app/Sockets.kt
@@ -48,7 +48,7 @@
         return crowded
     }
 
-    private fun leastOrders() = (shared / 16).coerceAtLeast(1)
+    private fun leastOrders() = (shared / 16).coerceIn(1, MOST_ORDERS)
 
     private companion object {
         /** An open connection for each of hundreds of machines costs more memory than opening some anew. */
