--- a/src/test/kotlin/lichenstage/part/PartCoreTest.kt
+++ b/src/test/kotlin/lichenstage/part/PartCoreTest.kt
@@ -102,6 +102,7 @@
         val part = part()
         for (name in listOf("m1", "m2")) part.report(report(5, machine = name), 1)
         part.report(report(5, ReportedTask("j-9/0", 9, TaskPhase.RUNNING, null), machine = "m3"), 2)
+        part.directOrders(2)
         part.leader(frame(asks = listOf(ask(1, 4))), 3)
         val starts = listOf("m1", "m2").mapIndexed { i, name -> StartOrder(1, name, i, 10L + i) }
         part.leader(frame(starts = starts, stops = listOf(AttemptOrder("m3", "j-9/0", 9))), 4)
