--- a/src/test/kotlin/lichenstage/part/PartCoreTest.kt
+++ b/src/test/kotlin/lichenstage/part/PartCoreTest.kt
@@ -113,7 +113,7 @@
 
     /** Counted, not timed: in a backlog dozens of requests come with each frame, and nearly all machines are full. */
     @Example
-    fun `requests look at a full machine once, however many there are`() {
+    fun `a report looks at no other machine and requests look at a full one once, however many there are`() {
         for (machines in listOf(400, 1600)) {
             var looks = 0
             val part =
@@ -126,6 +126,8 @@
             repeat(machines) { part.report(report(5, *busy, machine = "m$it"), 1) }
             part.report(report(5, machine = "free"), 1)
             looks = 0
+            part.report(report(5, *busy, machine = "m7"), 1)
+            condition(looks == 0) { "a report made $looks looks at $machines machines" }
             part.leader(frame(asks = (1L..24L).map { ask(10 + it, 1).copy(job = "j-$it") }), 2)
             condition(looks in machines..machines + 1 + 24) { "$looks looks at $machines machines" }
             val held = part.frame(3)!!.offers.sumOf { offer -> offer.held.sumOf { it.count } }
--- a/src/test/kotlin/lichenstage/placement/LeaderCoreTest.kt
+++ b/src/test/kotlin/lichenstage/placement/LeaderCoreTest.kt
@@ -258,6 +258,35 @@
         condition(sent("z").none { it.asks.isNotEmpty() }) { "a stranger's cores were given away" }
     }
 
+    /** Counted, not timed: [looks] are questions for a machine's size, of which whoever goes through all machines asks one each. */
+    @Example
+    fun `a frame costs by what it tells, also while hundreds of machines are taken over`() {
+        for (machines in listOf(400, 1600)) {
+            var looks = 0
+            val leader =
+                LeaderCore(7, 100, parting, teams, 20 * SECOND, Timers(), Goals(emptyList()), {
+                    looks++
+                    Shape(16.0, 0.0, 64.0)
+                }, 10) { effects += it }
+            val names = List(machines) { "m$it" }
+            leader.inherited(inherited(*names.toTypedArray()))
+            leader.jobAdded(job("j-1"))
+            for (piece in names.chunked(100)) {
+                val last = piece.last() == names.last()
+                leader.frame(part("z", 0, *piece.map { view(it) }.toTypedArray(), whole = last), SECOND)
+            }
+            condition(leader.complete && looks == 0) { "$looks looks at $machines machines in a takeover" }
+            leader.tick(SECOND)
+            val before = looks
+            condition(before <= machines + 10) { "$before looks at $machines machines in the first turn" }
+            repeat(20) {
+                leader.frame(part("z", 0, view("m$it")), SECOND + it * 10_000)
+                leader.tick(SECOND + it * 10_000)
+            }
+            condition(looks == before) { "${looks - before} looks at $machines machines for 20 frames of one" }
+        }
+    }
+
     @Example
     fun `attempts rise from leader to leader`() {
         placed()
--- /dev/null
+++ b/src/test/kotlin/lichenstage/standin/Deployment.kt
@@ -0,0 +1,52 @@
+package lichenstage.standin
+
+import io.vertx.core.json.JsonArray
+import io.vertx.core.json.JsonObject
+import java.net.ServerSocket
+
+/** A deployment on loopback: one controller a zone, a state service and a cloud, each on a port of its own. */
+internal class Deployment(
+    val zones: List<String>,
+) {
+    private val taken = HashSet<Int>()
+    val serve = zones.map { freePort() }
+    private val cluster = zones.map { freePort() }
+    val statePort = freePort()
+    val cloudPort = freePort()
+
+    /** What workers report to, by label. */
+    val labels = zones.indices.associate { "n$it" to serve[it] }
+
+    fun freePort(): Int {
+        while (true) {
+            val port = ServerSocket(0).use { it.localPort }
+            if (taken.add(port)) return port
+        }
+    }
+
+    /** The settings file of controller [node]; [limits] are the fields of `settings` beside the zones. */
+    fun settings(
+        node: Int,
+        limits: JsonObject,
+    ): JsonObject {
+        val seeds =
+            zones.indices.filter { it != node }.map {
+                JsonObject().put("label", "n$it").put("area", zones[it]).put("addr", "127.0.0.1:${cluster[it]}")
+            }
+        return JsonObject()
+            .put("label", "n$node")
+            .put("area", zones[node])
+            .put("serve_on", "127.0.0.1:${serve[node]}")
+            .put("cluster_listen", "127.0.0.1:${cluster[node]}")
+            .put("seeds", JsonArray(seeds))
+            .put("endpoints", JsonObject().put("cloud", "127.0.0.1:$cloudPort").put("state", "127.0.0.1:$statePort"))
+            .put(
+                "settings",
+                limits
+                    .copy()
+                    .put("count", zones.size)
+                    .put("zones", JsonArray(zones))
+                    .put("objectives", JsonArray()),
+            )
+    }
+}
--- a/src/test/kotlin/lichenstage/standin/Load.kt
+++ b/src/test/kotlin/lichenstage/standin/Load.kt
@@ -9,7 +9,6 @@
 import io.vertx.core.json.JsonObject
 import picocli.CommandLine
 import java.io.File
-import java.net.ServerSocket
 import java.nio.file.Files
 import java.nio.file.Path
 import java.util.Random
@@ -47,12 +46,8 @@
     private var jvm = ArrayList<String>()
 
     private val vertx = Vertx.vertx(VertxOptions().setEventLoopPoolSize(2))
-    private val zones = listOf("a", "b", "c")
-    private val taken = HashSet<Int>()
-    private val serve = zones.map { freePort() }
-    private val cluster = zones.map { freePort() }
-    private val statePort = freePort()
-    private val cloudPort = freePort()
+    private val deployment = Deployment(listOf("a", "b", "c"))
+    private val serve = deployment.serve
     private val random = Random(1)
     private val users: HttpClient = vertx.createHttpClient(PoolOptions().setHttp1MaxSize(40))
     private val folder = File("target/load").apply { mkdirs() }
@@ -65,21 +60,24 @@
     /** The one that is measured, and killed. */
     private val process get() = processes.first()
 
-    private fun freePort(): Int {
-        while (true) {
-            val port = ServerSocket(0).use { it.localPort }
-            if (taken.add(port)) return port
-        }
-    }
-
     override fun call(): Int {
         try {
-            StateStandIn(vertx, statePort).start()
-            val labels = zones.indices.associate { "n$it" to serve[it] }
+            StateStandIn(vertx, deployment.statePort).start()
             val cloud =
-                CloudStandIn(vertx, cloudPort, zones) { name, zone ->
+                CloudStandIn(vertx, deployment.cloudPort, deployment.zones) { name, zone ->
                     val reportMs = 3_000L + random.nextInt(2_000)
-                    WorkerStandIn(vertx, name, zone, freePort(), labels, LEASE_MS, RUN_MS, reportMs, { _, _ -> }, { _, _ -> })
+                    WorkerStandIn(
+                        vertx,
+                        name,
+                        zone,
+                        deployment.freePort(),
+                        deployment.labels,
+                        LEASE_MS,
+                        RUN_MS,
+                        reportMs,
+                        { _, _ -> },
+                        { _, _ -> },
+                    )
                 }
             cloud.start()
             repeat(alive) { processes += launch(it) }
@@ -178,22 +176,11 @@
         return ProcessBuilder(command).redirectErrorStream(true).redirectOutput(log).start()
     }
 
-    private fun settings(node: Int): JsonObject {
-        val seeds =
-            zones.indices.filter { it != node }.map {
-                JsonObject()
-                    .put(
-                        "label",
-                        "n$it",
-                    ).put("area", zones[it])
-                    .put("addr", "127.0.0.1:${cluster[it]}")
-            }
-        val common =
+    private fun settings(node: Int) =
+        deployment.settings(
+            node,
             JsonObject()
-                .put("count", 3)
-                .put("zones", JsonArray(zones))
                 .put("teams", JsonArray().add(JsonObject().put("name", "red")))
-                .put("objectives", JsonArray())
                 .put("workers", JsonObject().put("report_s", 4.0).put("lease_s", LEASE_MS / 1000.0).put("cancel_s", 50.0))
                 .put(
                     "state",
@@ -203,16 +190,8 @@
                         .put("value_kb", 16.0)
                         .put("txn_ops", 48),
                 ).put("cloud", JsonObject().put("rps", 10.0).put("list_lag_s", 1.0))
-                .put("machine_limits", JsonObject().put("core_share", 0.187).put("memory_mb", 365.0).put("max_sockets", maxSockets))
-        return JsonObject()
-            .put("label", "n$node")
-            .put("area", zones[node])
-            .put("serve_on", "127.0.0.1:${serve[node]}")
-            .put("cluster_listen", "127.0.0.1:${cluster[node]}")
-            .put("seeds", JsonArray(seeds))
-            .put("endpoints", JsonObject().put("cloud", "127.0.0.1:$cloudPort").put("state", "127.0.0.1:$statePort"))
-            .put("settings", common)
-    }
+                .put("machine_limits", JsonObject().put("core_share", 0.187).put("memory_mb", 365.0).put("max_sockets", maxSockets)),
+        )
 
     private companion object {
         const val LEASE_MS = 22_000L
--- a/src/test/kotlin/lichenstage/standin/Smoke.kt
+++ b/src/test/kotlin/lichenstage/standin/Smoke.kt
@@ -5,7 +5,6 @@
 import io.vertx.core.json.JsonArray
 import io.vertx.core.json.JsonObject
 import java.io.File
-import java.net.ServerSocket
 import java.net.URI
 import java.net.http.HttpClient
 import java.net.http.HttpRequest
@@ -36,11 +35,8 @@
     private val command: List<String>,
 ) {
     private val vertx = Vertx.vertx(VertxOptions().setEventLoopPoolSize(1))
-    private val zones = listOf("a", "b", "c")
-    private val taken = HashSet<Int>()
-    private val ports = zones.map { freePort() to freePort() }
-    private val statePort = freePort()
-    private val cloudPort = freePort()
+    private val deployment = Deployment(listOf("a", "b", "c"))
+    private val zones = deployment.zones
     private val folder =
         File("target/smoke").apply {
             deleteRecursively()
@@ -53,22 +49,14 @@
     private var passed = 0
     private var failed = 0
 
-    private fun freePort(): Int {
-        while (true) {
-            val port = ServerSocket(0).use { it.localPort }
-            if (taken.add(port)) return port
-        }
-    }
-
     fun run(): Int {
         try {
             check("wrong arguments end with status 2") { exitOf("--nonsense") == 2 }
             check("a missing settings file ends with status 2") { exitOf("--config", "target/none.json") == 2 }
             check("--version ends with status 0") { exitOf("--version") == 0 }
-            StateStandIn(vertx, statePort).start()
-            val labels = zones.indices.associate { "n$it" to ports[it].first }
-            CloudStandIn(vertx, cloudPort, zones) { name, zone ->
-                WorkerStandIn(vertx, name, zone, freePort(), labels, 20_000, 400, 300, ::started, ::ended)
+            StateStandIn(vertx, deployment.statePort).start()
+            CloudStandIn(vertx, deployment.cloudPort, zones) { name, zone ->
+                WorkerStandIn(vertx, name, zone, deployment.freePort(), deployment.labels, 20_000, 400, 300, ::started, ::ended)
             }.start()
             zones.indices.forEach(::launch)
             check("all become healthy") { eventually { zones.indices.all { status(it, "GET", "/healthz") == 200 } } }
@@ -164,17 +152,11 @@
         logOf(0).readText().contains("DEBUG lichenstage") && logOf(1).readText().contains("INFO lichenstage") &&
             !logOf(1).readText().contains("DEBUG lichenstage") && !logOf(2).readText().contains("INFO lichenstage")
 
-    private fun settings(node: Int): JsonObject {
-        val seeds =
-            zones.indices.filter { it != node }.map {
-                JsonObject().put("label", "n$it").put("area", zones[it]).put("addr", "127.0.0.1:${ports[it].second}")
-            }
-        val common =
+    private fun settings(node: Int) =
+        deployment.settings(
+            node,
             JsonObject()
-                .put("count", 3)
-                .put("zones", JsonArray(zones))
                 .put("teams", JsonArray().add(JsonObject().put("name", "red").put("cpus", 0.0).put("cpus_max", 24.0)))
-                .put("objectives", JsonArray())
                 .put("workers", JsonObject().put("report_s", 1.0).put("lease_s", 20.0).put("cancel_s", 40.0))
                 .put(
                     "state",
@@ -183,16 +165,8 @@
                         .put("write_rps", 150.0)
                         .put("value_kb", 8.0)
                         .put("txn_ops", 12),
-                ).put("cloud", JsonObject().put("rps", 8.0).put("list_lag_s", 1.0))
-        return JsonObject()
-            .put("label", "n$node")
-            .put("area", zones[node])
-            .put("serve_on", "127.0.0.1:${ports[node].first}")
-            .put("cluster_listen", "127.0.0.1:${ports[node].second}")
-            .put("seeds", JsonArray(seeds))
-            .put("endpoints", JsonObject().put("cloud", "127.0.0.1:$cloudPort").put("state", "127.0.0.1:$statePort"))
-            .put("settings", common)
-    }
+                ).put("cloud", JsonObject().put("rps", 8.0).put("list_lag_s", 1.0)),
+        )
 
     private fun job(
         id: Int,
@@ -208,7 +182,7 @@
     ): HttpResponse<String>? =
         try {
             val publisher = if (body == null) HttpRequest.BodyPublishers.noBody() else HttpRequest.BodyPublishers.ofString(body)
-            val uri = URI("http://127.0.0.1:${ports[node].first}$path")
+            val uri = URI("http://127.0.0.1:${deployment.serve[node]}$path")
             http.send(
                 HttpRequest
                     .newBuilder(uri)
