The pause of the event loop has a test of its own, and the load check reports the submissions that it counts as refused

Found on reading the change: Gathering took a clock and a pause so that it can be tested, and was not; refused submissions were counted and never shown. No source of the service changed.

--- /dev/null
+++ b/src/test/kotlin/lichenstage/app/GatheringTest.kt
@@ -0,0 +1,28 @@
+package lichenstage.app
+
+import io.netty.channel.SelectStrategy
+import net.jqwik.api.Example
+import org.junit.platform.commons.util.Preconditions.condition
+
+class GatheringTest {
+    private var now = 0L
+    private var paused = 0L
+    private val gathering =
+        Gathering({ now }, 20 * MILLI) {
+            paused += it
+            now += it
+        }
+
+    private fun next(hasTasks: Boolean = false) = gathering.next({ 3 }, hasTasks)
+
+    @Example
+    fun `the loop pauses only while it is woken often, and never with work of its own`() {
+        condition(next() == SelectStrategy.SELECT && paused == 0L) { "paused at the first wait" }
+        now += 100 * MILLI
+        condition(next() == SelectStrategy.SELECT && paused == 0L) { "paused for what came alone" }
+        now += 5 * MILLI
+        condition(next() == SelectStrategy.SELECT && paused == 20 * MILLI) { "did not pause while much comes" }
+        now += MILLI
+        condition(next(hasTasks = true) == 3 && paused == 20 * MILLI) { "paused with tasks waiting" }
+    }
+}
--- a/src/test/kotlin/lichenstage/standin/Load.kt
+++ b/src/test/kotlin/lichenstage/standin/Load.kt
@@ -89,6 +89,7 @@
             processes[0] = launch(0)
             phase("the process was killed and is back", workers)
             println("sessions that ran out: ${workers.sumOf { it.expiries }}; polls: ${polls.get()}, failed: ${failedPolls.get()}")
+            println("submissions: $submitted, refused: ${refused.get()}")
             return if (process.isAlive) 0 else 1
         } finally {
             processes.forEach { it.destroyForcibly() }
