Answers to workers need knowledge of cancellations, not authority alone; late writes put nothing back

The state service refused the leader alone, another controller confirmed, then all were refused and promised to take no key, so that the leader's answers went on for longer than cancel_s without its having heard. - Every controller keeps a replica of the open jobs with a staleness bound (JobReplica, JobFeed): a report is answered only while all that users may have been told until cancel_s less lease_s less 3 s ago is known. Known by a read of the state service, or by all others handing over what they have learned since the reader's revision; who can't know what the process before it told hands over nothing. Parts stop what is over by themselves. - A promise to take no key comes after one renewal without an answer, for who was refused earlier has little of its lease left. - Registry pages and done ranges are guarded by the revision they replace (OwnedKeys): a late transaction of the same leader put old ones back. - A machine that answers orders but does not report gets no more tasks. 429 and 503 of a transaction are known as not executed, so that they keep nobody from promising. Checker's ran_cancelled has no second of grace any more. CANCEL_UNHEARD of WorldTest takes out the parts' knowledge too, since it guards now what the leader's alone did.

--- a/src/main/kotlin/lichenstage/app/Controller.kt
+++ b/src/main/kotlin/lichenstage/app/Controller.kt
@@ -10,6 +10,9 @@
 import lichenstage.cluster.Bind
 import lichenstage.cluster.Bound
 import lichenstage.cluster.Counts
+import lichenstage.cluster.Ended
+import lichenstage.cluster.EndsOf
+import lichenstage.cluster.EndsSince
 import lichenstage.cluster.Forward
 import lichenstage.cluster.Forwarded
 import lichenstage.cluster.Forwarder
@@ -23,6 +26,8 @@
 import lichenstage.fleet.Catalog
 import lichenstage.fleet.CloudClient
 import lichenstage.fleet.FleetPolicy
+import lichenstage.jobs.JobFeed
+import lichenstage.jobs.JobReplica
 import lichenstage.jobs.JobsActor
 import lichenstage.jobs.JobsMessage
 import lichenstage.part.PartActor
@@ -32,6 +37,7 @@
 import lichenstage.placement.LeaderMessage
 import lichenstage.state.StateClient
 import org.slf4j.LoggerFactory
+import java.util.concurrent.TimeUnit
 
 /** Wires the actors of one process together. */
 class Controller(
@@ -57,7 +63,27 @@
     private val links: Links =
         Links(vertx, settings, clock, scope, authority::stateAnswers, metrics.counter("frames"), metrics.counter("frame_bytes"), ::received)
     private val forwarder = Forwarder({ links.peerWithState() }) { to, frame -> links.send(to, frame) }
-    private val jobs = JobsActor(state, settings.txnOps, catalog, settings.teams, authority::stateAnswers, forwarder, scope)
+    private val others = settings.peers.map { it.label }
+    private val replica =
+        JobReplica(
+            TimeUnit.MILLISECONDS.toMicros(System.currentTimeMillis()),
+            others.toSet().takeIf { settings.count == controllers },
+            JobReplica.bound(settings.cancelUs, settings.workerLeaseUs),
+        )
+    private val feed =
+        JobFeed(replica, others, state, clock, scope, { to, frame -> links.send(to, frame) }) { leader?.tell(LeaderMessage.Ended(it)) }
+    private val jobs =
+        JobsActor(
+            state,
+            settings.txnOps,
+            catalog,
+            settings.teams,
+            authority::stateAnswers,
+            forwarder,
+            replica,
+            feed::cancelled,
+            scope,
+        )
     private val part =
         PartActor(
             settings,
@@ -66,6 +92,7 @@
             scope,
             WorkerClient(vertx, clock, metrics.counter("orders"), sockets::forOrders),
             catalog::build,
+            replica,
             ::toLeader,
         )
     private val api = HttpApi(vertx, settings.listen, jobs, part, metrics, clock, sockets, ::healthy)
@@ -84,7 +111,7 @@
         links.start()
         authority.start()
         catalog.start()
-        jobs.start()
+        feed.start()
         if (log.isDebugEnabled) scope.launch { describe() }
         scope.launch {
             while (isActive) {
@@ -169,6 +196,9 @@
             is Forwarded -> forwarder.answered(frame)
             is Bind -> authority.asked(from, frame)
             is Bound -> authority.answered(from, frame)
+            is EndsSince -> feed.asked(from, frame)
+            is EndsOf -> feed.answered(from, frame)
+            is Ended -> feed.told(frame)
             is Counts -> jobs.tell(JobsMessage.Counted(frame))
         }
     }
--- a/src/main/kotlin/lichenstage/app/Settings.kt
+++ b/src/main/kotlin/lichenstage/app/Settings.kt
@@ -49,6 +49,8 @@
     val zones: List<String>,
     val teams: Map<String, Team>,
     val workerLeaseUs: Long,
+    /** Within this time of a confirmed cancellation no task of the job may be left. */
+    val cancelUs: Long,
     val reportUs: Long,
     val stateRps: Double,
     val stateWriteRps: Double,
@@ -83,6 +85,7 @@
                 zones = settings.texts("zones"),
                 teams = settings.list("teams").map(::team).associateBy { it.name },
                 workerLeaseUs = workers.micros("lease_s"),
+                cancelUs = workers.micros("cancel_s"),
                 reportUs = workers.micros("report_s"),
                 stateRps = state.number("rps", 1.0),
                 stateWriteRps = state.number("write_rps", 1.0),
--- a/src/main/kotlin/lichenstage/authority/Authority.kt
+++ b/src/main/kotlin/lichenstage/authority/Authority.kt
@@ -79,7 +79,10 @@
     /** True while this process may act on what it holds. Asked again at the moment of every answer. */
     fun entitled() = lease.valid(clock.now())
 
-    /** The last renewal was answered, and not long ago. */
+    /** The last renewal had no answer. */
+    private var unanswered = false
+
+    /** A renewal was answered not long ago. */
     fun stateAnswers() = lease.id != null && clock.now() - renewedUs < lifeUs / 5 + SECOND
 
     fun leading(): Holder? = mine(LEADER)
@@ -107,7 +110,8 @@
 
     /**
      * While the state service answers nobody, all others are asked to take no key. Who has the service's answer, or may have a
-     * transaction under way, does not promise: it may see our lease end and take over.
+     * transaction under way, does not promise: it may see our lease end and take over. One renewal without an answer is enough to
+     * promise: who was refused alone before the others has little of its lease left when they notice.
      */
     private suspend fun keepPact() {
         while (true) {
@@ -123,7 +127,7 @@
         question: Bind,
     ) {
         val now = clock.now()
-        if (stateAnswers() || acquiring || now - unclearUs < UNCLEAR_US) return
+        if ((stateAnswers() && !unanswered) || acquiring || now - unclearUs < UNCLEAR_US) return
         bond.bind(now)
         send(from, Bound(question.life, question.askedUs))
     }
@@ -184,6 +188,7 @@
                     }
 
                     null -> {
+                        unanswered = true
                         log.info("process lease {} not renewed", held)
                     }
                 }
@@ -196,6 +201,7 @@
         val wasEntitled = entitled()
         extend()
         renewedUs = clock.now()
+        unanswered = false
         if (!wasEntitled) changed(view())
     }
 
--- a/src/main/kotlin/lichenstage/cluster/Frames.kt
+++ b/src/main/kotlin/lichenstage/cluster/Frames.kt
@@ -213,6 +213,37 @@
     val askedUs: Long,
 ) : Frame
 
+/**
+ * Asks for all ends of jobs after [revision] that the receiver has learned of. [logLife] and [upTo]: the process whose log the asker has
+ * taken in so far, and how much of it. [life] and [askedUs] are the asker's, and come back with the answer.
+ */
+@Serializable
+data class EndsSince(
+    val life: Long,
+    val askedUs: Long,
+    val revision: Long,
+    val logLife: Long,
+    val upTo: Long,
+) : Frame
+
+/** A piece of the sender's log, from [since] to [upTo]; [whole] where that is all of it. */
+@Serializable
+data class EndsOf(
+    val life: Long,
+    val askedUs: Long,
+    val logLife: Long,
+    val since: Long,
+    val upTo: Long,
+    val jobs: List<String>,
+    val whole: Boolean,
+) : Frame
+
+/** These jobs have ended, as the sender is about to tell a user: so that their tasks stop early. Nothing rests on its arrival. */
+@Serializable
+data class Ended(
+    val jobs: List<String>,
+) : Frame
+
 /** A frame on its way through a third controller, for a pair that can't reach each other (the paper's intermediate agent). */
 @Serializable
 data class Relayed(
--- /dev/null
+++ b/src/main/kotlin/lichenstage/jobs/JobFeed.kt
@@ -0,0 +1,101 @@
+package lichenstage.jobs
+
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import lichenstage.app.Clock
+import lichenstage.cluster.Ended
+import lichenstage.cluster.EndsOf
+import lichenstage.cluster.EndsSince
+import lichenstage.cluster.Frame
+import lichenstage.state.StateClient
+import lichenstage.state.Watched
+
+/** Keeps the [JobReplica] of this process up to date: by a watch, and by the other controllers while the state service is away. */
+class JobFeed(
+    private val replica: JobReplica,
+    private val others: List<String>,
+    private val state: StateClient,
+    private val clock: Clock,
+    private val scope: CoroutineScope,
+    private val send: (String, Frame) -> Unit,
+    private val over: (List<String>) -> Unit,
+) {
+    fun start() {
+        scope.launch {
+            while (true) follow()
+        }
+        scope.launch {
+            while (true) {
+                delay(ASK_MS)
+                val now = clock.now()
+                if (replica.lagging(now)) others.forEach { other -> replica.question(other, now)?.let { send(other, it) } }
+            }
+        }
+    }
+
+    private suspend fun follow() {
+        val scannedUs = clock.now()
+        val scan = state.scan(JobRecord.OPEN)
+        if (scan == null) {
+            delay(RETRY_MS)
+            return
+        }
+        news(replica.loaded(scan.entries.associate { id(it.key) to it.stamp }, scan.revision, scannedUs))
+        while (true) {
+            val sentUs = clock.now()
+            when (val seen = state.changes(JobRecord.OPEN, replica.revision, WAIT_MS)) {
+                is Watched.Events -> {
+                    val put = seen.puts.associate { id(it.key) to it.stamp }
+                    news(replica.changed(put, seen.deletes.associate { id(it.key) to it.stamp }, seen.revision, sentUs))
+                }
+
+                Watched.TooOld -> {
+                    return
+                }
+
+                Watched.Unavailable -> {
+                    delay(RETRY_MS)
+                }
+            }
+        }
+    }
+
+    private fun id(key: String) = key.removePrefix(JobRecord.OPEN)
+
+    /** This process has cancelled the job and is about to tell its user. Who leads and who owns parts hear it at once. */
+    fun cancelled(
+        job: String,
+        at: Long,
+    ) {
+        replica.learned(job, at)
+        news(listOf(job))
+        others.forEach { send(it, Ended(listOf(job))) }
+    }
+
+    fun asked(
+        from: String,
+        question: EndsSince,
+    ) {
+        replica.handOver(question)?.let { send(from, it) }
+    }
+
+    fun answered(
+        from: String,
+        answer: EndsOf,
+    ) = news(replica.answered(from, answer))
+
+    fun told(frame: Ended) = news(replica.told(frame.jobs))
+
+    private fun news(jobs: List<String>) {
+        if (jobs.isNotEmpty()) over(jobs)
+    }
+
+    private companion object {
+        const val ASK_MS = 400L
+        const val RETRY_MS = 300L
+
+        /** Short: what was read counts from when it was asked for, and must not seem stale while nothing happens. */
+        const val WAIT_MS = 2500L
+    }
+}
--- a/src/main/kotlin/lichenstage/jobs/JobsActor.kt
+++ b/src/main/kotlin/lichenstage/jobs/JobsActor.kt
@@ -2,7 +2,6 @@
 
 import io.vertx.core.json.JsonObject
 import kotlinx.coroutines.CoroutineScope
-import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeoutOrNull
 import lichenstage.app.Mailbox
@@ -50,6 +49,8 @@
     private val teams: Map<String, Team>,
     private val stateAnswers: () -> Boolean,
     private val forwarder: Forwarder,
+    private val replica: JobReplica,
+    private val cancelled: (String, Long) -> Unit,
     private val scope: CoroutineScope,
 ) {
     private val finished =
@@ -57,7 +58,7 @@
             override fun removeEldestEntry(eldest: MutableMap.MutableEntry<String, JsonObject>) = size > REMEMBERED
         }
 
-    /** Revisions of open records: with them one request asks for many jobs. */
+    /** Revisions of open records that the replica may lack: with them one request asks for many jobs. */
     private val stamps =
         object : LinkedHashMap<String, Long>(64, 0.75f, true) {
             override fun removeEldestEntry(eldest: MutableMap.MutableEntry<String, Long>) = size > REMEMBERED_OPEN
@@ -67,18 +68,6 @@
     private var open = 0
     private val mailbox = Mailbox("jobs", scope, ::handle, shed = ::shed)
 
-    /** After a start in the middle of a busy day all users ask at once: the open records are learned beforehand. */
-    fun start() {
-        scope.launch {
-            while (true) {
-                val scan = state.scan(JobRecord.OPEN)
-                scan?.entries?.forEach { stamps[it.key.removePrefix(JobRecord.OPEN)] = it.stamp }
-                if (scan != null) break
-                delay(START_RETRY_MS)
-            }
-        }
-    }
-
     fun tell(message: JobsMessage) = mailbox.tell(message)
 
     /** Users are told to come again, counts come again. */
@@ -165,7 +154,7 @@
                 known(spec.id) { later("undecided", 1) }
             }
 
-            Committed.NoLease, Committed.Unknown -> {
+            Committed.NoLease, Committed.NotExecuted, Committed.Unknown -> {
                 later("the state service can't be asked", 1)
             }
         }
@@ -196,7 +185,7 @@
      */
     private suspend fun find(id: String): Reply {
         finished[id]?.let { return described(id, it) }
-        val stamp = stamps[id]
+        val stamp = stamps[id] ?: replica.stamp(id)
         if (stamp != null) {
             when (openCheck.ask(JobRecord.OPEN + id, stamp)) {
                 Openness.OPEN -> return running(id)
@@ -221,6 +210,7 @@
         return when (val over = state.get(JobRecord.FINISHED + id, READ_TIMEOUT_MS)) {
             is Read.Found -> {
                 finished[id] = over.entry.value
+                replica.learned(id, over.entry.stamp)
                 described(id, over.entry.value)
             }
 
@@ -272,9 +262,10 @@
             if (read !is Read.Found) return find(id)
             val record = JsonObject().put("status", "cancelled").put("tasks", counts.jobs[id]?.firstOrNull() ?: 0)
             val changes = listOf(Change.Delete(open), Change.Put(JobRecord.FINISHED + id, record))
-            when (state.txn(mapOf(open to read.entry.stamp), changes)) {
+            when (val outcome = state.txn(mapOf(open to read.entry.stamp), changes)) {
                 is Committed.Yes -> {
                     finished[id] = record
+                    cancelled(id, outcome.revision)
                     return described(id, record)
                 }
 
@@ -282,7 +273,7 @@
                     Unit
                 }
 
-                Committed.NoLease, Committed.Unknown -> {
+                Committed.NoLease, Committed.NotExecuted, Committed.Unknown -> {
                     return later("the state service can't be asked", 1)
                 }
             }
@@ -305,7 +296,6 @@
         const val REMEMBERED = 4000
         const val REMEMBERED_OPEN = 20_000
         const val GUARDS_A_CHANGE = 4
-        const val START_RETRY_MS = 1000L
         const val MOST_OPEN = 300
         const val SHORT_TRY_MS = 800L
         const val READ_TIMEOUT_MS = 1400L
--- a/src/main/kotlin/lichenstage/jobs/OpenCheck.kt
+++ b/src/main/kotlin/lichenstage/jobs/OpenCheck.kt
@@ -69,7 +69,7 @@
                     open = rest
                 }
 
-                Committed.NoLease, Committed.Unknown -> {
+                Committed.NoLease, Committed.NotExecuted, Committed.Unknown -> {
                     open.forEach { it.answer.complete(Openness.UNKNOWN) }
                     return
                 }
--- a/src/main/kotlin/lichenstage/part/Machine.kt
+++ b/src/main/kotlin/lichenstage/part/Machine.kt
@@ -13,6 +13,8 @@
 class Attempt(
     val task: String,
     val number: Long,
+    /** When this part first knew of it. */
+    val knownUs: Long,
 ) {
     val job = task.substringBefore('/')
     var phase = TaskPhase.PENDING
@@ -76,6 +78,12 @@
     var recallUs: Long? = null
     var heardUs = 0L
 
+    /**
+     * When a report of its own came last. One that only answers orders reaches no controller with its reports, so that nothing renews
+     * its lease: what was placed there would be lost with it.
+     */
+    var reportedUs = 0L
+
     /** When a 200 was last written to it: its lease can't run longer than from here. */
     var answeredUs = 0L
 
--- a/src/main/kotlin/lichenstage/part/PartActor.kt
+++ b/src/main/kotlin/lichenstage/part/PartActor.kt
@@ -10,6 +10,7 @@
 import lichenstage.authority.Authority
 import lichenstage.cluster.LeaderFrame
 import lichenstage.cluster.PartFrame
+import lichenstage.jobs.JobReplica
 import org.slf4j.LoggerFactory
 
 /** The answer to a worker, decided at the moment it is written. */
@@ -61,6 +62,7 @@
     private val scope: CoroutineScope,
     private val workers: WorkerClient,
     private val buildOf: (String) -> Build?,
+    private val replica: JobReplica,
     private val toLeader: (PartFrame) -> Unit,
 ) {
     private val log = LoggerFactory.getLogger("lichenstage.part")
@@ -133,7 +135,8 @@
         term: Long,
     ) = parts[part]?.takeIf { it.term == term }
 
-    private fun entitled(part: PartCore) = authority.owning(part.id)?.term == part.term
+    /** Holding the part is not enough: an answer renews a lease, and must not keep alive what a user was told is cancelled (invariant 15). */
+    private fun entitled(part: PartCore) = authority.owning(part.id)?.term == part.term && replica.current(clock.now())
 
     /** Nothing is ordered or offered without authority; what is due then goes out when it is back. */
     private fun pump(
@@ -153,7 +156,17 @@
             if (part != null && owner != null && owner.term > part.term) parts.remove(id)
             val mine = authority.owning(id) ?: continue
             if (parts[id]?.term != mine.term) {
-                parts[id] = PartCore(id, parting.zone(id)!!, mine.term, settings.workerLeaseUs, settings.reportUs, now, buildOf = buildOf)
+                parts[id] =
+                    PartCore(
+                        id,
+                        parting.zone(id)!!,
+                        mine.term,
+                        settings.workerLeaseUs,
+                        settings.reportUs,
+                        now,
+                        over = replica::over,
+                        buildOf = buildOf,
+                    )
                 log.info("owning {} under term {}", id, mine.term)
             }
         }
--- a/src/main/kotlin/lichenstage/part/PartCore.kt
+++ b/src/main/kotlin/lichenstage/part/PartCore.kt
@@ -77,6 +77,8 @@
     private val reportUs: Long,
     private val acquiredUs: Long,
     private val repeatsUs: Long = leaseUs * REPEATS_LEASES,
+    /** The job is known to be over, where a task of it has been known since a time (invariant 15). */
+    private val over: (String, Long) -> Boolean = { _, _ -> false },
     private val buildOf: (String) -> Build?,
 ) {
     private class Hold(
@@ -113,6 +115,7 @@
     private var toldSeq = 0L
     private var dirty = true
     private var sentUs = Long.MIN_VALUE / 2
+    private var sweptUs = Long.MIN_VALUE / 2
 
     val machineCount get() = machines.size
 
@@ -126,6 +129,7 @@
         if (ingest(machine, report, now)) {
             addresses[report.machine] = report.address
             machine.ordersBlocked = false
+            machine.reportedUs = now
             if (machine.attempts.isNotEmpty()) ordersDue += machine
         }
         // Even where it is no news: an answer to an order may have overtaken it, and the worker counts its lease from it.
@@ -178,7 +182,7 @@
         if (report.token == term) {
             if (!machine.settled) changed = true
             machine.settled = true
-            if (settle(machine, report)) changed = true
+            if (settle(machine, report, now)) changed = true
         }
         if (changed) touch(machine)
         return true
@@ -188,12 +192,13 @@
     private fun settle(
         machine: Machine,
         report: Report,
+        now: Long,
     ): Boolean {
         var changed = false
         for (row in report.tasks) {
             var attempt = machine.attempts.get(row.attempt)
             if (attempt == null) {
-                attempt = Attempt(row.task, row.attempt)
+                attempt = Attempt(row.task, row.attempt, now)
                 attempt.version = version + 1
                 machine.attempts.put(row.attempt, attempt)
                 facts[attempt.job]?.let { machine.uses(it) }
@@ -387,7 +392,7 @@
         if (frame.ackTerm == term) acknowledged(frame.ackVersion)
         lapse(now)
         frame.releases.forEach(::release)
-        for (order in frame.starts) start(order)
+        for (order in frame.starts) start(order, now)
         // What is left of a hold after its starts was not chosen.
         frame.starts.forEach { release(it.stamp) }
         for (order in frame.stops) mark(order, now) { it.stopWanted = true }
@@ -441,16 +446,19 @@
     }
 
     /** A start on a lapsed or unknown hold is refused: the machine's list, told again, shows the leader that it isn't there. */
-    private fun start(order: StartOrder) {
+    private fun start(
+        order: StartOrder,
+        now: Long,
+    ) {
         val machine = machines[order.machine] ?: return
         val hold = holds.get(order.stamp)
         val left = hold?.counts?.get(order.machine) ?: 0
-        if (hold != null && left > 0 && usable(machine)) {
+        if (hold != null && left > 0 && usable(machine) && !over(hold.ask.job, now)) {
             hold.counts[order.machine] = left - 1
             machine.hold(hold.ask.facts.shape, -1)
             machine.uses(hold.ask.facts)
             if (!machine.attempts.containsKey(order.attempt)) {
-                val attempt = Attempt("${hold.ask.job}/${order.index}", order.attempt)
+                val attempt = Attempt("${hold.ask.job}/${order.index}", order.attempt, now)
                 attempt.version = version + 1
                 machine.attempts.put(order.attempt, attempt)
                 machine.changed()
@@ -504,7 +512,7 @@
         val shapes = asks.map { it.facts.shape }
         val least = Shape(shapes.minOf { it.cores }, shapes.minOf { it.cards }, shapes.minOf { it.memGb })
         return machines.values.filter { machine ->
-            usable(machine) && machine.name !in closed && now - machine.heardUs <= reportUs * 5 / 2 &&
+            usable(machine) && machine.name !in closed && now - maxOf(machine.reportedUs, acquiredUs) <= reportUs * 5 / 2 &&
                 buildOf(machine.build)?.let { machine.room(least, it.capacity, factsOf) > 0 } == true
         }
     }
@@ -516,6 +524,8 @@
         open: List<Machine>,
         now: Long,
     ): Offer {
+        // Not for what its leader may not know yet to be over.
+        if (over(ask.job, now)) return Offer(ask.stamp, emptyList())
         if (ask.zone != null && ask.zone != zone) return Offer(ask.stamp, emptyList())
         val fitting = ArrayList<Held>()
         for (machine in open) {
@@ -552,10 +562,27 @@
                 touch(machine)
             }
         }
+        if (now - sweptUs >= SWEEP_US) stopWhatIsOver(now)
         unwanted.toList().forEach { dropUnsent(it, now) }
         machines.values.filter { it.lost && now - it.answeredUs > FORGET_US }.forEach(::forget)
     }
 
+    /**
+     * Tasks of jobs that are over stop whether or not the leader says so (invariant 15): it may be out of reach, or not have heard
+     * of a cancellation while this part's answers keep the workers' leases going.
+     */
+    private fun stopWhatIsOver(now: Long) {
+        sweptUs = now
+        for (machine in machines.values) {
+            for (attempt in machine.attempts.values) {
+                if (attempt.stopWanted || attempt.phase == TaskPhase.ENDED || !over(attempt.job, attempt.knownUs)) continue
+                attempt.stopWanted = true
+                ordersDue += machine
+                if (!attempt.present) unwanted += machine
+            }
+        }
+    }
+
     private fun forget(machine: Machine) {
         machines -= machine.name
         addresses -= machine.name
@@ -606,6 +633,7 @@
         private const val MOST_PROBES = 24
         private const val MOST_TOLD = 100
         private const val MOST_ATTEMPTS = 150
+        private const val SWEEP_US = SECOND / 2
         private const val REMEMBERED_JOBS = 10_000
 
         /** After so many leases no repeat of an order is expected any more. */
--- a/src/main/kotlin/lichenstage/placement/LeaderActor.kt
+++ b/src/main/kotlin/lichenstage/placement/LeaderActor.kt
@@ -32,6 +32,7 @@
 import lichenstage.state.Change
 import lichenstage.state.Committed
 import lichenstage.state.Entry
+import lichenstage.state.OwnedKeys
 import lichenstage.state.Read
 import lichenstage.state.StateClient
 import lichenstage.state.Watched
@@ -61,6 +62,11 @@
         val removed: List<String>,
     ) : LeaderMessage
 
+    /** Jobs that others know to be over; the watch of this leader may be the only one that is not answered. */
+    data class Ended(
+        val jobs: List<String>,
+    ) : LeaderMessage
+
     data class RangesWritten(
         val news: List<DoneNews>,
         val ok: Boolean,
@@ -130,6 +136,9 @@
             ::effect,
         )
     private val registry = Registry(settings.valueBytes)
+
+    /** The registry's pages and the done ranges. */
+    private val owned = OwnedKeys(state)
     private val forecast = Forecast(clock.now())
     private val fleet = FleetCore(term, policy, forecast)
     private val mailbox = Mailbox("leader", scope, ::handle, shed = { it is LeaderMessage.FromPart || it is LeaderMessage.Tick })
@@ -216,6 +225,10 @@
                 message.removed.forEach(::closed)
             }
 
+            is LeaderMessage.Ended -> {
+                if (loaded) message.jobs.forEach { closed(JobRecord.OPEN + it) }
+            }
+
             is LeaderMessage.FromPart -> {
                 if (loaded) core.frame(message.frame, now)
             }
@@ -273,6 +286,7 @@
     }
 
     private fun loaded(message: LeaderMessage.Loaded) {
+        owned.read(message.machines + message.done)
         message.machines.forEach { entry -> registry.load(entry).forEach(::known) }
         // In the order of their submission: the forecast fades what lies back.
         message.jobs.sortedBy { it.value.getLong("at") ?: 0 }.forEach(::added)
@@ -336,8 +350,8 @@
     }
 
     /**
-     * Guarded by the leadership alone: a late transaction of an earlier leader changes nothing, and ranges of a job that ended
-     * meanwhile are tidied away.
+     * Guarded by the leadership: a late transaction of an earlier leader changes nothing, and ranges of a job that ended
+     * meanwhile are tidied away. A late one of this leader is kept from changing anything by [OwnedKeys].
      */
     private suspend fun writeRanges(news: List<DoneNews>) {
         val puts =
@@ -351,7 +365,7 @@
 
     private suspend fun writeAll(changes: List<Change>): Boolean {
         val guards = mapOf(Authority.LEADER to stamp)
-        return changes.chunked(settings.txnOps).all { state.txn(guards, it, urgent = false) is Committed.Yes }
+        return changes.chunked(settings.txnOps).all { owned.write(guards, it, urgent = false) }
     }
 
     private suspend fun finish(job: Job) {
@@ -470,9 +484,9 @@
         if (pages.isEmpty()) return
         registryBusy = true
         scope.launch {
-            val outcome = state.txn(mapOf(Authority.LEADER to stamp), pages.map { it.change })
-            if (outcome !is Committed.Yes) delay(RETRY_MS)
-            mailbox.tell(LeaderMessage.Registered(pages, outcome is Committed.Yes))
+            val written = owned.write(mapOf(Authority.LEADER to stamp), pages.map { it.change }, urgent = true)
+            if (!written) delay(RETRY_MS)
+            mailbox.tell(LeaderMessage.Registered(pages, written))
         }
     }
 
--- a/src/main/kotlin/lichenstage/state/StateClient.kt
+++ b/src/main/kotlin/lichenstage/state/StateClient.kt
@@ -45,7 +45,10 @@
     /** The lease of a put has ended. */
     data object NoLease : Committed
 
-    /** Not executed, or nobody knows: it may still be applied later, so every transaction carries its own guards. */
+    /** The service has said that it did nothing. */
+    data object NotExecuted : Committed
+
+    /** Nobody knows: it may still be applied later, so every transaction carries its own guards. */
     data object Unknown : Committed
 }
 
@@ -93,7 +96,7 @@
     rps: Double,
     writeRps: Double,
     writeShare: () -> Double,
-) {
+) : OwnedKeys.Store {
     private val http = JsonHttp(vertx, address, connections = REQUESTS, queue = 2000)
 
     /** Watches stay open for long: they have connections of their own, and so have leases, so that nothing holds up a renewal. */
@@ -149,10 +152,19 @@
             200 -> Committed.Yes(body.getLong("ledger_rev") ?: 0)
             409 -> Committed.Refused(parsed { body.getJsonArray("failed").map { it as String } } ?: emptyList())
             400 -> if (body.getString("error") == "no such lease") Committed.NoLease else Committed.Refused()
+            429, 503 -> Committed.NotExecuted
             else -> Committed.Unknown
         }
     }
 
+    override suspend fun read(key: String) = get(key)
+
+    override suspend fun commit(
+        guards: Map<String, Long>,
+        changes: List<Change>,
+        urgent: Boolean,
+    ) = txn(guards, changes, urgent = urgent)
+
     /** Grants a lease; null where that failed. */
     suspend fun grant(lifeUs: Long): Long? {
         val answer = leases.call(HttpMethod.POST, "/leases", JsonObject().put("life_ms", lifeUs / 1000), 1500)
--- a/src/test/kotlin/lichenstage/app/SettingsTest.kt
+++ b/src/test/kotlin/lichenstage/app/SettingsTest.kt
@@ -12,7 +12,7 @@
          "endpoints":{"cloud":"10.2.0.2:8443","state":"10.2.0.1:2379"},
          "settings":{"count":2,"zones":["a","b"],"teams":[{"name":"red","cpus":4,"cpus_max":0.0}],
           "objectives":[{"kind":"wait","class":"x","within_s":15.0},{"kind":"unheard of"}],
-          "workers":{"report_s":3.0,"lease_s":17.5},"state":{"rps":200,"write_rps":80,"txn_ops":12},"cloud":{"rps":4,"list_lag_s":5}}}
+          "workers":{"report_s":3.0,"lease_s":17.5,"cancel_s":47.0},"state":{"rps":200,"write_rps":80,"txn_ops":12},"cloud":{"rps":4,"list_lag_s":5}}}
         """
 
     private fun complaint(parse: () -> Unit): String? =
@@ -26,7 +26,7 @@
     @Example
     fun `the platform's file is read`() {
         val settings = Settings.parse(text)
-        condition(settings.workerLeaseUs == 17_500_000L) { "$settings" }
+        condition(settings.workerLeaseUs == 17_500_000L && settings.cancelUs == 47_000_000L) { "$settings" }
         condition(settings.teams.getValue("red").coresMax == Double.POSITIVE_INFINITY) { "a limit of 0 means none" }
         condition(settings.peers.single().address == Address("10.0.0.2", 8081)) { "$settings" }
     }
--- /dev/null
+++ b/src/test/kotlin/lichenstage/jobs/JobReplicaTest.kt
@@ -0,0 +1,111 @@
+package lichenstage.jobs
+
+import lichenstage.app.SECOND
+import lichenstage.cluster.EndsOf
+import net.jqwik.api.Example
+import net.jqwik.api.ForAll
+import net.jqwik.api.Property
+import org.junit.platform.commons.util.Preconditions.condition
+import java.util.Random
+
+class JobReplicaTest {
+    private fun replica(
+        life: Long,
+        vararg others: String,
+    ) = JobReplica(life, others.toSet(), BOUND)
+
+    /**
+     * One that can't read asks two that can; answers are lost, late and repeated, and a process of them is followed by another. Whenever
+     * it holds itself for current, it knows every end that a user had been told of longer than the bound ago.
+     */
+    @Property(tries = 400, seed = "91")
+    fun `who is current knows what users were told`(
+        @ForAll seed: Long,
+    ) {
+        val random = Random(seed)
+        val asker = replica(1, "a", "b").apply { loaded(emptyMap(), 100, 0) }
+        val others = HashMap(mapOf("a" to replica(2, "b", "asker"), "b" to replica(3, "a", "asker")))
+        others.values.forEach { it.loaded(emptyMap(), 100, 0) }
+        val told = ArrayList<Pair<String, Long>>()
+        val late = ArrayList<Pair<String, EndsOf>>()
+        var revision = 100L
+        var now = 0L
+        repeat(400) { step ->
+            now += random.nextInt(400_000)
+            val name = if (random.nextBoolean()) "a" else "b"
+            when (random.nextInt(8)) {
+                0, 1 -> {
+                    repeat(if (random.nextInt(12) == 0) 900 else 1) { n ->
+                        val job = "j-$step-$n"
+                        others.getValue(name).learned(job, ++revision)
+                        told += job to now
+                    }
+                }
+
+                2 -> {
+                    if (random.nextInt(20) == 0) {
+                        others[name] = replica(10L + step, "x")
+                        if (random.nextBoolean()) others.getValue(name).loaded(emptyMap(), revision, now)
+                    }
+                }
+
+                3 -> {
+                    if (late.isNotEmpty()) late[random.nextInt(late.size)].let { (from, answer) -> asker.answered(from, answer) }
+                }
+
+                else -> {
+                    val question = asker.question(name, now) ?: return@repeat
+                    val answer = others.getValue(name).handOver(question) ?: return@repeat
+                    if (random.nextInt(3) == 0) late += name to answer else asker.answered(name, answer)
+                }
+            }
+            if (!asker.current(now)) return@repeat
+            val lacking = told.filter { (job, at) -> at < now - BOUND && !asker.over(job, 0) }
+            condition(lacking.isEmpty()) { "seed $seed step $step: not known: ${lacking.take(3)}" }
+        }
+    }
+
+    @Example
+    fun `word of all others keeps it current, word of some does not`() {
+        val asker = replica(1, "a", "b").apply { loaded(emptyMap(), 100, 0) }
+        val (a, b) = List(2) { replica(2L + it, "asker").apply { loaded(emptyMap(), 90, 0) } }
+        for (second in 1L..60) {
+            val now = second * SECOND
+            asker.answered("a", a.handOver(asker.question("a", now)!!)!!)
+            if (second <= 30) asker.answered("b", b.handOver(asker.question("b", now)!!)!!)
+            condition(asker.current(now) == now <= 30 * SECOND + BOUND) { "after $second s" }
+        }
+    }
+
+    @Example
+    fun `a task is not taken for over because its job is newer than what was read`() {
+        val replica = replica(1).apply { loaded(mapOf("j-1" to 5L), 10, 100) }
+        condition(!replica.over("j-1", 50) && !replica.over("j-2", 200) && replica.over("j-2", 50)) {
+            "only what a later read does not find is over"
+        }
+        replica.changed(mapOf("j-2" to 11L), mapOf("j-1" to 12L), 12, 300)
+        condition(replica.over("j-1", 400) && !replica.over("j-2", 200)) { "the watch says otherwise" }
+    }
+
+    @Example
+    fun `a single controller is as stale as its last read`() {
+        val alone = replica(1)
+        condition(!alone.current(0)) { "current before anything was read" }
+        alone.loaded(emptyMap(), 1, SECOND)
+        condition(alone.current(SECOND + BOUND) && !alone.current(2 * SECOND + BOUND)) { "not as of its read" }
+    }
+
+    @Example
+    fun `the bound leaves a lease and some room within the time of a cancellation`() {
+        for ((cancelS, leaseS) in listOf(46L to 26L, 47L to 17L, 60L to 15L)) {
+            val bound = JobReplica.bound(cancelS * SECOND, leaseS * SECOND)
+            condition(
+                bound > 10 * SECOND && bound + leaseS * SECOND * 1.0005 + 2 * SECOND < cancelS * SECOND,
+            ) { "$cancelS, $leaseS: $bound" }
+        }
+    }
+
+    private companion object {
+        const val BOUND = 17 * SECOND
+    }
+}
--- a/src/test/kotlin/lichenstage/part/PartCoreTest.kt
+++ b/src/test/kotlin/lichenstage/part/PartCoreTest.kt
@@ -382,6 +382,43 @@
         condition(offered(part, 5) == listOf("b")) { "not the machine that fetches the image" }
     }
 
+    @Example
+    fun `a machine that answers orders but does not report gets no more tasks, for its lease runs out`() {
+        val part = part()
+        started(part)
+        var now = SECOND
+        while (now < 12 * SECOND) {
+            now += SECOND
+            // As a mute machine does: what it is asked it answers, and its own reports reach nobody.
+            part.probed(Probe("m", "1.2.3.4:5", 1), report(5, ReportedTask("j-1/0", 1, TaskPhase.RUNNING, null)), now)
+        }
+        part.leader(frame(asks = listOf(ask(2, 1))), now)
+        val offer = part.frame(now + SECOND)!!.offers.single { it.stamp == 2L }
+        condition(offer.held.isEmpty()) { "offered: ${offer.held}" }
+    }
+
+    @Example
+    fun `a part stops what it knows to be over and takes no more of it, whatever its leader says`() {
+        val over = HashSet<String>()
+        val part = PartCore("z/0", "z", 5, LEASE, 3 * SECOND, 0, over = { job, _ -> job in over }) { Build("t", Shape(8.0, 0.0, 64.0)) }
+        started(part)
+        part.leader(frame(asks = listOf(ask(2, 1))), SECOND)
+        part.commands(report(5, ReportedTask("j-1/0", 1, TaskPhase.RUNNING, null)), SECOND)
+        over += "j-1"
+        part.leader(frame(asks = listOf(ask(3, 1)), starts = listOf(StartOrder(2, "m", 1, 2))), 2 * SECOND)
+        condition(
+            part
+                .frame(2 * SECOND)!!
+                .offers
+                .last()
+                .held
+                .isEmpty(),
+        ) { "offered for a job that is over" }
+        part.tick(3 * SECOND)
+        val commands = part.commands(report(5, ReportedTask("j-1/0", 1, TaskPhase.RUNNING, null)), 3 * SECOND)
+        condition(commands == listOf(Command.Stop("j-1/0", 1, 0.0))) { "not just stopped: $commands" }
+    }
+
     private companion object {
         const val LEASE = 20 * SECOND
     }
--- /dev/null
+++ b/src/test/kotlin/lichenstage/state/OwnedKeysTest.kt
@@ -0,0 +1,82 @@
+package lichenstage.state
+
+import io.vertx.core.json.JsonObject
+import kotlinx.coroutines.runBlocking
+import net.jqwik.api.ForAll
+import net.jqwik.api.Property
+import org.junit.platform.commons.util.Preconditions.condition
+import java.util.Random
+
+class OwnedKeysTest {
+    /** A state service that now and then gives no answer, and carries such a transaction out at once, later, or never. */
+    private class LateStore(
+        private val random: Random,
+    ) : OwnedKeys.Store {
+        val entries = HashMap<String, Entry>()
+        private val late = ArrayList<Pair<Map<String, Long>, List<Change>>>()
+        private var revision = 0L
+
+        override suspend fun read(key: String) =
+            if (random.nextInt(8) == 0) Read.Unavailable else entries[key]?.let { Read.Found(it) } ?: Read.Missing
+
+        override suspend fun commit(
+            guards: Map<String, Long>,
+            changes: List<Change>,
+            urgent: Boolean,
+        ): Committed {
+            if (late.isNotEmpty() && random.nextInt(3) == 0) late.removeAt(random.nextInt(late.size)).let { apply(it.first, it.second) }
+            return when (random.nextInt(8)) {
+                0 -> Committed.Unknown.also { apply(guards, changes) }
+                1, 2 -> Committed.Unknown.also { late += guards to changes }
+                3 -> Committed.NotExecuted
+                else -> apply(guards, changes)
+            }
+        }
+
+        fun applyLate() = late.forEach { apply(it.first, it.second) }
+
+        private fun apply(
+            guards: Map<String, Long>,
+            changes: List<Change>,
+        ): Committed {
+            val failed = guards.filter { (key, stamp) -> (entries[key]?.stamp ?: 0) != stamp }.keys
+            if (failed.isNotEmpty()) return Committed.Refused(failed.toList())
+            revision++
+            for (change in changes) {
+                when (change) {
+                    is Change.Put -> entries[change.key] = Entry(change.key, change.value, revision)
+                    is Change.Delete -> entries.remove(change.key)
+                }
+            }
+            return Committed.Yes(revision)
+        }
+    }
+
+    @Property(tries = 500, seed = "17")
+    fun `what is known to be written is never put back by a late transaction`(
+        @ForAll seed: Long,
+    ) = runBlocking {
+        val random = Random(seed)
+        val store = LateStore(random)
+        val owned = OwnedKeys(store)
+        val known = HashMap<String, Int>()
+
+        fun check(step: Int) =
+            known.forEach { (key, least) ->
+                val value = store.entries[key]?.value?.getInteger("n") ?: -1
+                condition(value >= least) { "seed $seed step $step: $key is back at $value from $least" }
+            }
+        var written = 0
+        repeat(120) { step ->
+            val keys = listOf("m/0", "m/1", "d/j-1/0").shuffled(random).take(1 + random.nextInt(3))
+            if (owned.write(emptyMap(), keys.map { Change.Put(it, JsonObject().put("n", step)) }, urgent = true)) {
+                written++
+                keys.forEach { known[it] = step }
+            }
+            check(step)
+        }
+        store.applyLate()
+        check(120)
+        condition(written > 10) { "seed $seed: only $written writes came through" }
+    }
+}
--- a/src/test/kotlin/lichenstage/world/Checker.kt
+++ b/src/test/kotlin/lichenstage/world/Checker.kt
@@ -1,7 +1,5 @@
 package lichenstage.world
 
-import lichenstage.app.SECOND
-
 /** Watches a simulated world from outside and notes every broken rule of the protocol. */
 class Checker(
     private val limits: Map<String, Double>,
@@ -20,6 +18,9 @@
     var starts = 0
         private set
 
+    /** Tasks that were killed because their machine's lease ran out. */
+    var lost = 0
+
     fun started(
         machine: String,
         job: SimJob,
@@ -65,11 +66,14 @@
         if (job.id in cancelled) broken += "went_back: ${job.id} was cancelled"
     }
 
+    /** Tasks of the job on machines now. */
+    fun running(job: String) = on.filterKeys { it.substringBefore('/') == job }.values.sumOf { it.size }
+
     /** To be asked now and then: nothing of a cancelled job may be left after its time. */
     fun sweep(now: Long) {
         for ((key, there) in on) {
             val at = cancelled[key.substringBefore('/')] ?: continue
-            if (there.isNotEmpty() && now - at > cancelUs + SECOND) broken += "ran_cancelled: $key still on ${there[0].machine} at $now"
+            if (there.isNotEmpty() && now - at > cancelUs) broken += "ran_cancelled: $key still on ${there[0].machine} at $now"
         }
     }
 }
--- a/src/test/kotlin/lichenstage/world/SimWorker.kt
+++ b/src/test/kotlin/lichenstage/world/SimWorker.kt
@@ -138,7 +138,10 @@
     fun step(now: Long): Boolean {
         var changed = false
         if (now - leaseFromUs > leaseUs) {
-            tasks.values.filter { it.phase != TaskPhase.ENDED }.forEach { checker.ended(name, it.job, it.index, false) }
+            tasks.values.filter { it.phase != TaskPhase.ENDED }.forEach {
+                checker.lost++
+                checker.ended(name, it.job, it.index, false)
+            }
             tasks.clear()
             session++
             sequence = 0
--- a/src/test/kotlin/lichenstage/world/World.kt
+++ b/src/test/kotlin/lichenstage/world/World.kt
@@ -5,10 +5,12 @@
 import lichenstage.app.Team
 import lichenstage.authority.Bond
 import lichenstage.authority.Pact
+import lichenstage.cluster.EndsOf
 import lichenstage.cluster.LeaderFrame
 import lichenstage.cluster.PartFrame
 import lichenstage.cluster.Parting
 import lichenstage.cluster.Shape
+import lichenstage.jobs.JobReplica
 import lichenstage.jobs.JobSpec
 import lichenstage.jobs.Priority
 import lichenstage.part.Build
@@ -35,9 +37,20 @@
     EAGER_OWNER,
     IGNORED_LIMIT,
     DONE_TOO_EARLY,
+
+    /** Nobody but the one that confirms a cancellation hears of it. */
     CANCEL_UNHEARD,
     COPIES_BELIEVED,
     CLEARED_AT_ONCE,
+
+    /** Answers renew leases whatever the answering controller may not have heard, and only the leader's watch tells of ends. */
+    ANSWERED_UNINFORMED,
+
+    /** Another controller's word counts, but not what it tells. */
+    HANDOVER_DROPPED,
+
+    /** A controller answers for what the process before it has told. */
+    SPOKEN_FOR_PREDECESSOR,
 }
 
 /**
@@ -72,8 +85,12 @@
         var seen = HashMap<String, Pair<Int, Long>>()
         var pact = Pact(emptySet())
         var bond = Bond(-10 * SECOND)
+        var replica = replicaOf(this)
 
         fun entitled() = alive && now < coveredUs
+
+        /** May renew the leases of workers. */
+        fun answers() = entitled() && (sabotage == Sabotage.ANSWERED_UNINFORMED || replica.current(now))
     }
 
     private val random = Random(seed)
@@ -104,7 +121,9 @@
     private val open = LinkedHashMap<String, SimJob>()
     private val durable = HashMap<String, java.util.BitSet>()
     val done = HashSet<String>()
-    private val cancelledJobs = HashSet<String>()
+
+    /** Jobs that are over, with the revision. */
+    private val ends = ArrayList<Pair<String, Long>>()
 
     // Cuts: pairs of hosts that can't talk until a time; messages are held or lost.
     private val cuts = HashMap<String, Pair<Long, Boolean>>()
@@ -165,8 +184,11 @@
             every(300 * MILLI) { if (worker.step(now)) report(worker) }
             every(2 * SECOND) { report(worker) }
         }
-        repeat(25) { n -> at(random.nextInt(troubleUs.toInt()).toLong()) { submit(n) } }
-        repeat(30) { at(random.nextInt(troubleUs.toInt()).toLong(), ::trouble) }
+        if (script.isEmpty()) {
+            repeat(25) { n -> at(random.nextInt(troubleUs.toInt()).toLong()) { submit(n) } }
+            repeat(30) { at(random.nextInt(troubleUs.toInt()).toLong(), ::trouble) }
+        }
+        script.forEach { (atUs, event) -> at(atUs) { event() } }
         every(SECOND) { checker.sweep(now) }
         val end = troubleUs + calmUs
         while (queue.isNotEmpty() && queue.peek().atUs <= end) {
@@ -189,6 +211,24 @@
                 leader?.parts?.map { (z, p) -> "\n  $z term ${p.term} v${p.version} ${p.machines.values}" }
         } + "\nowners $owner"
 
+    private val script = ArrayList<Pair<Long, World.() -> Unit>>()
+
+    /** Has [event] happen at [atUs]; a world with a script has no other troubles, jobs or cancellations. */
+    fun script(
+        atUs: Long,
+        event: World.() -> Unit,
+    ) {
+        script += atUs to event
+    }
+
+    /** A job whose tasks run for long. */
+    fun submitLong(
+        n: Int,
+        runUs: Long,
+    ) = accept(SimJob("j-$n", if (n % 2 == 0) "red" else "blue", 2, 2.0, runUs, ++term))
+
+    val leader get() = owner[LEADER]?.first ?: -1
+
     private fun submit(n: Int) {
         val job =
             SimJob(
@@ -199,16 +239,81 @@
                 8 * SECOND,
                 ++term,
             )
+        accept(job)
+        if (random.nextInt(5) == 0) at(random.nextInt(20_000_000).toLong()) { cancel(job.id, random.nextInt(3)) }
+    }
+
+    private fun accept(job: SimJob) {
         jobs[job.id] = job
         open[job.id] = job
         durable[job.id] = java.util.BitSet()
-        if (random.nextInt(5) == 0) at(random.nextInt(20_000_000).toLong()) { cancel(job) }
     }
 
-    private fun cancel(job: SimJob) {
-        if (open.remove(job.id) == null) return
-        cancelledJobs += job.id
+    /** A user asks node [by], or the next that has the state service's answer, and repeats it until then. */
+    fun cancel(
+        id: String,
+        by: Int,
+    ) {
+        val node = List(3) { nodes[(by + it) % 3] }.firstOrNull { it.alive && reachesState(it) }
+        if (node == null) return at(SECOND) { cancel(id, by) }
+        val job = open.remove(id) ?: return
+        ends += id to ++term
+        node.replica.learned(id, term)
         checker.toldCancelled(job, now)
+        for (other in nodes) {
+            if (other != node && shared) send("n${node.id}", "n${other.id}") { told(other, listOf(id)) }
+        }
+    }
+
+    /** Controllers learn of ends otherwise than by the leader's own watch. */
+    private val shared = sabotage != Sabotage.ANSWERED_UNINFORMED && sabotage != Sabotage.CANCEL_UNHEARD
+
+    private fun told(
+        node: Node,
+        jobs: List<String>,
+    ) {
+        if (!node.alive) return
+        node.replica.told(jobs)
+        jobs.forEach { node.leader?.jobClosed(it) }
+    }
+
+    private fun replicaOf(node: Node) =
+        JobReplica(
+            node.id * 1000L + node.life,
+            List(3) { "n$it" }.filter { it != "n${node.id}" }.toSet(),
+            JobReplica.bound(CANCEL_US, WORKER_LEASE_US),
+        )
+
+    /** What a watch of the open jobs brings. */
+    private fun readJobs(node: Node) {
+        val replica = node.replica
+        val stamps = open.mapValues { it.value.stamp }
+        if (replica.revision < 0) {
+            replica.loaded(stamps, term, now)
+        } else {
+            replica.changed(stamps, ends.filter { it.second > replica.revision }.toMap(), term, now)
+        }
+    }
+
+    /** While the state service shows nothing, the others are asked what has ended. */
+    private fun askEnds(node: Node) {
+        if (!node.replica.lagging(now) || !shared) return
+        for (other in nodes) {
+            if (other == node) continue
+            val life = node.life
+            val question = node.replica.question("n${other.id}", now) ?: continue
+            send("n${node.id}", "n${other.id}") {
+                if (!other.alive) return@send
+                val whole = EndsOf(question.life, question.askedUs, other.replica.hashCode().toLong(), 0, 0, emptyList(), true)
+                val answer = other.replica.handOver(question) ?: whole.takeIf { sabotage == Sabotage.SPOKEN_FOR_PREDECESSOR }
+                if (answer == null) return@send
+                send("n${other.id}", "n${node.id}") {
+                    if (node.life != life || !node.alive) return@send
+                    val believed = if (sabotage == Sabotage.HANDOVER_DROPPED) answer.copy(jobs = emptyList()) else answer
+                    node.replica.answered("n${other.id}", believed).forEach { node.leader?.jobClosed(it) }
+                }
+            }
+        }
     }
 
     private fun trouble() {
@@ -275,19 +380,50 @@
         hosts(one).forEach { a -> hosts(other).forEach { b -> cut(a, b, forUs, held) } }
     }
 
-    private fun crash(node: Node) {
+    fun crash(
+        id: Int,
+        backAfterUs: Long,
+    ) = crash(nodes[id], backAfterUs)
+
+    /** The state service refuses node [id] alone. */
+    fun refuse(
+        id: Int,
+        forUs: Long,
+    ) = cut("n$id", "state", forUs, held = false)
+
+    fun apart(
+        one: Int,
+        other: Int,
+        forUs: Long,
+    ) = cut("n$one", "n$other", forUs, held = false)
+
+    fun hang(
+        worker: Int,
+        forUs: Long,
+    ) {
+        workers[worker].hungUntilUs = now + forUs
+    }
+
+    /** How many tasks of the job are on machines. */
+    fun running(job: String) = checker.running(job)
+
+    private fun crash(
+        node: Node,
+        // Now and then it is back within a fraction of a second.
+        backAfterUs: Long = 100 * MILLI + if (random.nextInt(3) == 0) random.nextInt(300_000) else random.nextInt(6_000_000),
+    ) {
         node.alive = false
         node.life++
         node.parts.clear()
         node.seen.clear()
         node.leader = null
-        // Now and then it is back within a fraction of a second.
-        at(100 * MILLI + if (random.nextInt(3) == 0) random.nextInt(300_000) else random.nextInt(6_000_000)) {
+        at(backAfterUs) {
             node.alive = true
             node.renewedUs = Long.MIN_VALUE / 2
             node.coveredUs = Long.MIN_VALUE / 2
             node.pact = pactOf(node)
             node.bond = Bond(now)
+            node.replica = replicaOf(node)
         }
     }
 
@@ -317,7 +453,7 @@
     }
 
     /** The state service answers nobody; after that all leases have their full time again. */
-    private fun outage(forUs: Long) {
+    fun outage(forUs: Long) {
         outageUntilUs = maxOf(outageUntilUs, now + forUs)
         nodes.forEach { if (expiry[it.id] > now) expiry[it.id] = outageUntilUs + LEASE_US }
     }
@@ -341,7 +477,9 @@
                 if (key !in owner && node.bond.free(now) && random.nextInt(3) == 0) owner[key] = node.id to ++term
             }
             node.seen = HashMap(owner)
+            readJobs(node)
         }
+        askEnds(node)
         if (!reachesState(node) && node.entitled()) keepPact(node)
         if (!node.entitled()) return
         for (id in parting.parts) {
@@ -352,7 +490,7 @@
                 val lease = if (sabotage == Sabotage.SHORT_LEASE) WORKER_LEASE_US / 5 else WORKER_LEASE_US
                 val zone = parting.zone(id)!!
                 val repeats = if (sabotage == Sabotage.CLEARED_AT_ONCE) 0 else 10 * WORKER_LEASE_US
-                node.parts[id] = PartCore(id, zone, mine.second, lease, 3 * SECOND, now, repeats) { Build("type", Shape(8.0, 0.0, 64.0)) }
+                node.parts[id] = partCore(node, id, zone, mine.second, lease, repeats)
             }
         }
         lead(node)
@@ -360,6 +498,19 @@
         pump(node)
     }
 
+    private fun partCore(
+        node: Node,
+        id: String,
+        zone: String,
+        term: Long,
+        lease: Long,
+        repeats: Long,
+    ): PartCore {
+        val over: (String, Long) -> Boolean =
+            { job, since -> shared && node.replica.over(job, since) }
+        return PartCore(id, zone, term, lease, 3 * SECOND, now, repeats, over) { Build("type", Shape(8.0, 0.0, 64.0)) }
+    }
+
     private fun lead(node: Node) {
         val mine = node.seen[LEADER]?.takeIf { it.first == node.id }
         if (mine == null) {
@@ -490,6 +641,7 @@
         val id = job.spec.id
         if (open.remove(id) == null) return
         done += id
+        ends += id to ++term
         checker.toldDone(jobs.getValue(id), now)
     }
 
@@ -504,7 +656,7 @@
 
     /** Lets out what the parts of a node have to say. */
     private fun pump(node: Node) {
-        if (!node.entitled()) return
+        if (!node.answers()) return
         for (part in node.parts.values) {
             if (node.seen[part.id]?.second != part.term) continue
             part.directOrders(now).forEach { order(node, part, it) }
@@ -617,7 +769,7 @@
         report: Report,
     ): ReportAnswer.Accepted? {
         val id = parting.partOf(report.machine, report.zone)!!
-        val part = node.parts[id]?.takeIf { node.alive && node.entitled() } ?: return null
+        val part = node.parts[id]?.takeIf { node.alive && node.answers() } ?: return null
         val outcome = part.report(report, now) as? ReportAnswer.Accepted
         pump(node)
         return outcome
