--- a/src/main/kotlin/lichenstage/placement/LeaderCore.kt
+++ b/src/main/kotlin/lichenstage/placement/LeaderCore.kt
@@ -508,11 +508,12 @@
             job.alive.values
                 .groupingBy { zoneOf(it.part) }
                 .eachCount()
-        if (spec.sameZone) {
-            val zone = there.keys.firstOrNull() ?: Choice.bestZone(offers, ::zoneOf)
-            return { if (it == zone && there.keys.all { other -> other == zone }) Int.MAX_VALUE else 0 }
+        val most = if (spec.spread) (spec.tasks + 1) / 2 else Int.MAX_VALUE
+        val only = if (spec.sameZone) there.keys.firstOrNull() ?: Choice.bestZone(offers, ::zoneOf) else null
+        return { zone ->
+            val allowed = !spec.sameZone || (zone == only && there.keys.all { it == zone })
+            if (allowed) most - (there[zone] ?: 0) else 0
         }
-        return { (spec.tasks + 1) / 2 - (there[it] ?: 0) }
     }
 
     /** Unique and rising over leaders, with no write: the term is the high part (invariant 7). */
--- a/src/test/kotlin/lichenstage/cluster/FrameCodecTest.kt
+++ b/src/test/kotlin/lichenstage/cluster/FrameCodecTest.kt
@@ -75,6 +75,9 @@
                 Ping(true),
                 Bind(1, 2),
                 Bound(3, 4),
+                EndsSince(1, 2, 3, 4, 5),
+                EndsOf(1, 2, 3, 4, 6, listOf("j-1", "j-2"), true),
+                Ended(listOf("j-1")),
                 Forward(1, UserVerb.SUBMIT, "{}"),
                 Forwarded(1, 503, "{}", null),
                 Counts(
--- a/src/test/kotlin/lichenstage/world/Checker.kt
+++ b/src/test/kotlin/lichenstage/world/Checker.kt
@@ -18,6 +18,10 @@
     var starts = 0
         private set
 
+    /** Starts of tasks that had been done already, and starts of jobs whose user was told that they are cancelled. */
+    var reruns = 0
+    var lateStarts = 0
+
     /** Tasks that were killed because their machine's lease ran out. */
     var lost = 0
 
@@ -31,12 +35,34 @@
         val key = "${job.id}/$index"
         val there = on.getOrPut(key) { ArrayList() }
         if (there.any { it.machine != machine }) broken += "ran_twice: $key on $machine and ${there[0].machine} at $now"
+        placed(machine, job, now)
         there += Running(machine, job)
+        if (completed[job.id]?.contains(index) == true) reruns++
         val total = used.merge(job.team, job.cores, Double::plus)!!
         if (total > limits.getValue(job.team) + 1e-6) broken += "quota: ${job.team} uses $total at $now"
+        cancelled[job.id]?.let { lateStarts++ }
         cancelled[job.id]?.let { if (now - it > cancelUs) broken += "ran_cancelled: $key started at $now" }
     }
 
+    /** Given the job's other tasks at this moment, the zone is allowed. A worker's zone is the first letter of its name. */
+    private fun placed(
+        machine: String,
+        job: SimJob,
+        now: Long,
+    ) {
+        val zones =
+            on
+                .filterKeys { it.substringBefore('/') == job.id }
+                .values
+                .flatten()
+                .map { zoneOf(it.machine) }
+        val here = zones.count { it == zoneOf(machine) }
+        if (job.sameZone && here < zones.size) broken += "wrong_place: ${job.id} in $zones starts on $machine at $now"
+        if (job.spread && here >= (job.tasks + 1) / 2) broken += "wrong_place: ${job.id} in $zones starts on $machine at $now"
+    }
+
+    private fun zoneOf(machine: String) = machine.removePrefix("vm-").take(1)
+
     fun ended(
         machine: String,
         job: SimJob,
@@ -66,6 +92,26 @@
         if (job.id in cancelled) broken += "went_back: ${job.id} was cancelled"
     }
 
+    private val waitingSinceUs = HashMap<String, Long>()
+
+    /**
+     * To be asked now and then once all troubles are over, with the jobs that aren't: none waits for long while its team is under its
+     * limit. In these worlds there is always room on machines for what the limits allow.
+     */
+    fun waiting(
+        open: Collection<SimJob>,
+        now: Long,
+    ) {
+        for (job in open) {
+            if (running(job.id) > 0 || (used[job.team] ?: 0.0) + job.cores > limits.getValue(job.team)) {
+                waitingSinceUs.remove(job.id)
+            } else if (now - waitingSinceUs.getOrPut(job.id) { now } > MOST_WAIT_US) {
+                broken += "waiting: ${job.id} at $now"
+                waitingSinceUs[job.id] = now
+            }
+        }
+    }
+
     /** Tasks of the job on machines now. */
     fun running(job: String) = on.filterKeys { it.substringBefore('/') == job }.values.sumOf { it.size }
 
@@ -76,6 +122,10 @@
             if (there.isNotEmpty() && now - at > cancelUs) broken += "ran_cancelled: $key still on ${there[0].machine} at $now"
         }
     }
+
+    private companion object {
+        const val MOST_WAIT_US = 90_000_000L
+    }
 }
 
 data class SimJob(
@@ -85,4 +135,8 @@
     val cores: Double,
     val runUs: Long,
     val stamp: Long,
+    val sameZone: Boolean = false,
+    val spread: Boolean = false,
+    /** Its tasks run for very different times. */
+    val uneven: Boolean = false,
 )
--- a/src/test/kotlin/lichenstage/world/SimWorker.kt
+++ b/src/test/kotlin/lichenstage/world/SimWorker.kt
@@ -119,7 +119,8 @@
             tasks[key] = Task(job, index, command.attempt, TaskPhase.ENDED, "done", 0)
             return
         }
-        val run = job.runUs / 2 + (random.nextDouble() * job.runUs).toLong()
+        val factor = if (job.uneven) 1 + 6 * index else 1
+        val run = job.runUs * factor / 2 + (random.nextDouble() * job.runUs).toLong()
         tasks[key] = Task(job, index, command.attempt, TaskPhase.RUNNING, null, now + run)
         checker.started(name, job, index, now)
     }
--- a/src/test/kotlin/lichenstage/world/World.kt
+++ b/src/test/kotlin/lichenstage/world/World.kt
@@ -49,6 +49,21 @@
     /** Another controller's word counts, but not what it tells. */
     HANDOVER_DROPPED,
 
+    /** A controller goes by its authority after its lease. */
+    AUTHORITY_KEPT,
+
+    /** A new leader does not know which machines its predecessor used. */
+    REGISTRY_LOST,
+
+    /** A new leader does not know what is done. */
+    RANGES_LOST,
+
+    /** Jobs that are bound to one zone, or spread, are placed anywhere. */
+    ZONES_IGNORED,
+
+    /** The leader does not take up every job. */
+    JOB_FORGOTTEN,
+
     /** A controller answers for what the process before it has told. */
     SPOKEN_FOR_PREDECESSOR,
 }
@@ -87,7 +102,7 @@
         var bond = Bond(-10 * SECOND)
         var replica = replicaOf(this)
 
-        fun entitled() = alive && now < coveredUs
+        fun entitled() = alive && (now < coveredUs || sabotage == Sabotage.AUTHORITY_KEPT)
 
         /** May renew the leases of workers. */
         fun answers() = entitled() && (sabotage == Sabotage.ANSWERED_UNINFORMED || replica.current(now))
@@ -130,6 +145,7 @@
 
     // Machines that nothing reaches, and until when the state service answers late.
     private val deafUntilUs = HashMap<String, Long>()
+    private val muteUntilUs = HashMap<String, Long>()
     private var slowStateUntilUs = 0L
     private var outageUntilUs = 0L
 
@@ -185,11 +201,12 @@
             every(2 * SECOND) { report(worker) }
         }
         if (script.isEmpty()) {
-            repeat(25) { n -> at(random.nextInt(troubleUs.toInt()).toLong()) { submit(n) } }
+            load(25, troubleUs)
             repeat(30) { at(random.nextInt(troubleUs.toInt()).toLong(), ::trouble) }
         }
         script.forEach { (atUs, event) -> at(atUs) { event() } }
         every(SECOND) { checker.sweep(now) }
+        every(SECOND) { if (now > troubleUs + LONGEST_TROUBLE_US) checker.waiting(open.values, now) }
         val end = troubleUs + calmUs
         while (queue.isNotEmpty() && queue.peek().atUs <= end) {
             val event = queue.poll()
@@ -227,6 +244,25 @@
         runUs: Long,
     ) = accept(SimJob("j-$n", if (n % 2 == 0) "red" else "blue", 2, 2.0, runUs, ++term))
 
+    /** As many jobs as that come in a time, some of which are called off. */
+    fun load(
+        jobs: Int,
+        withinUs: Long,
+        first: Int = 0,
+    ) = repeat(jobs) { n -> at(random.nextInt(withinUs.toInt()).toLong()) { submit(first + n) } }
+
+    /** A job of few tasks that is bound to one zone, or spread over several. */
+    fun submitBound(
+        n: Int,
+        tasks: Int,
+        sameZone: Boolean,
+    ) = accept(SimJob("j-$n", if (n % 2 == 0) "red" else "blue", tasks, 1.0, 12 * SECOND, ++term, sameZone, !sameZone))
+
+    /** A job whose tasks run for very different times. */
+    fun submitUneven(n: Int) = accept(SimJob("j-$n", "red", 3, 1.0, 6 * SECOND, ++term, uneven = true))
+
+    val openJobs get() = open.keys.toList()
+
     val leader get() = owner[LEADER]?.first ?: -1
 
     private fun submit(n: Int) {
@@ -323,39 +359,93 @@
         val worker = workers[random.nextInt(workers.size)]
         val self = "n${node.id}"
         val others = nodes.filter { it != node }.map { "n${it.id}" }
-        when (random.nextInt(14)) {
-            0 -> crash(node)
+        when (random.nextInt(17)) {
+            0 -> {
+                crash(node)
+            }
 
-            1 -> nodes.forEach { cut(worker.name, "n${it.id}", forUs, held) }
+            1 -> {
+                nodes.forEach { cut(worker.name, "n${it.id}", forUs, held) }
+            }
 
-            2 -> worker.hungUntilUs = now + forUs
+            2 -> {
+                worker.hungUntilUs = now + forUs
+            }
 
-            3 -> cut(self, "state", forUs, held)
+            3 -> {
+                cut(self, "state", forUs, held)
+            }
 
-            4 -> cut(self, others.random(), forUs, held)
+            4 -> {
+                cut(self, others.random(), forUs, held)
+            }
 
-            5 -> workers.forEach { cut(it.name, self, forUs, held) }
+            5 -> {
+                workers.forEach { cut(it.name, self, forUs, held) }
+            }
 
             // Its reports arrive, but nothing reaches it.
-            6 -> deafUntilUs[worker.name] = now + forUs + WORKER_LEASE_US / 2
+            6 -> {
+                deafUntilUs[worker.name] = now + forUs + WORKER_LEASE_US / 2
+            }
 
             // It keeps its workers, and loses all else.
-            7 -> (others + "state").forEach { cut(self, it, forUs, held) }
+            7 -> {
+                (others + "state").forEach { cut(self, it, forUs, held) }
+            }
 
             // Connections between controllers are refused.
-            8 -> nodes.forEach { a -> nodes.forEach { b -> cut("n${a.id}", "n${b.id}", forUs, held = false) } }
+            8 -> {
+                nodes.forEach { a -> nodes.forEach { b -> cut("n${a.id}", "n${b.id}", forUs, held = false) } }
+            }
 
             // Two zones apart.
-            9 -> apart("a", "b", forUs, held)
+            9 -> {
+                apart("a", "b", forUs, held)
+            }
 
-            10 -> nodes.forEach(::crash)
+            10 -> {
+                nodes.forEach(::crash)
+            }
 
-            11 -> slowStateUntilUs = now + forUs
+            11 -> {
+                slowStateUntilUs = now + forUs
+            }
 
-            12 -> outage(forUs)
+            12 -> {
+                outage(forUs)
+            }
 
             // An outage for all but one.
-            13 -> nodes.filter { it != node }.forEach { cut("n${it.id}", "state", forUs, held) }
+            13 -> {
+                nodes.filter { it != node }.forEach { cut("n${it.id}", "state", forUs, held) }
+            }
+
+            // Its reports reach nobody, orders to it land.
+            14 -> {
+                muteUntilUs[worker.name] = now + forUs + WORKER_LEASE_US / 2
+            }
+
+            // Users call off what runs, and some of the machines hang.
+            15 -> {
+                open.keys
+                    .filter { running(it) > 0 }
+                    .take(3)
+                    .forEach { cancel(it, random.nextInt(3)) }
+                repeat(3) { workers[random.nextInt(workers.size)].hungUntilUs = now + forUs }
+            }
+
+            // The state service refuses the leader alone, and then everybody, while users call off what runs.
+            16 -> {
+                refuse(maxOf(leader, 0), 14 * SECOND)
+                at(SECOND) {
+                    open.keys
+                        .filter { running(it) > 0 }
+                        .take(2)
+                        .forEach { cancel(it, random.nextInt(3)) }
+                }
+                at(SECOND + SECOND / 2) { outage(forUs * 2) }
+            }
         }
     }
 
@@ -385,6 +475,45 @@
         backAfterUs: Long,
     ) = crash(nodes[id], backAfterUs)
 
+    /** Nothing passes between a machine and any controller; reports are held, or lost. */
+    fun cutOff(
+        worker: Int,
+        forUs: Long,
+        held: Boolean,
+    ) = nodes.forEach { cut(workers[worker].name, "n${it.id}", forUs, held) }
+
+    /** Only controller [id] is in reach of a machine. */
+    fun keepTo(
+        worker: Int,
+        id: Int,
+        forUs: Long,
+    ) = nodes.filter { it.id != id }.forEach { cut(workers[worker].name, "n${it.id}", forUs, held = false) }
+
+    fun cutZones(
+        one: String,
+        other: String,
+        forUs: Long,
+        held: Boolean,
+    ) = apart(one, other, forUs, held)
+
+    fun deafen(
+        worker: Int,
+        forUs: Long,
+    ) {
+        deafUntilUs[workers[worker].name] = now + forUs
+    }
+
+    fun mute(
+        worker: Int,
+        forUs: Long,
+    ) {
+        muteUntilUs[workers[worker].name] = now + forUs
+    }
+
+    fun slowState(forUs: Long) {
+        slowStateUntilUs = now + forUs
+    }
+
     /** The state service refuses node [id] alone. */
     fun refuse(
         id: Int,
@@ -543,7 +672,7 @@
             LeaderCore(term, term, parting, limits, lease, Timers(), Goals(emptyList()), { Shape(8.0, 0.0, 64.0) }, 12) {
                 effect(node, term, it)
             }
-        leader.inherited(workers.map { Inherited(it.name, partOf(it), "type", "10.0.0.1:9000") })
+        if (sabotage != Sabotage.REGISTRY_LOST) leader.inherited(workers.map { Inherited(it.name, partOf(it), "type", "10.0.0.1:9000") })
         node.leader = leader
         node.leaderSeenJobs = HashSet()
         open.values.forEach { addJob(node, leader, it) }
@@ -556,6 +685,7 @@
         sim: SimJob,
     ) {
         node.leaderSeenJobs += sim.id
+        if (sabotage == Sabotage.JOB_FORGOTTEN && sim.id == "j-3") return
         val spec =
             JobSpec(
                 sim.id,
@@ -566,8 +696,8 @@
                 Shape(sim.cores, 0.0, 1.0),
                 null,
                 null,
-                false,
-                false,
+                sim.sameZone && sabotage != Sabotage.ZONES_IGNORED,
+                sim.spread && sabotage != Sabotage.ZONES_IGNORED,
                 false,
                 "image",
                 1.0,
@@ -578,7 +708,7 @@
                 0,
             )
         val job = Job(spec, sim.stamp, now)
-        job.recorded(durable.getValue(sim.id))
+        if (sabotage != Sabotage.RANGES_LOST) job.recorded(durable.getValue(sim.id))
         leader.jobAdded(job)
     }
 
@@ -738,6 +868,7 @@
 
     private fun report(worker: SimWorker) {
         if (worker.hung(now)) return
+        if (now < (muteUntilUs[worker.name] ?: 0)) return
         val node = nodes[target.getValue(worker.name)]
         val report = worker.report()
         val sentUs = now
@@ -781,5 +912,6 @@
         const val WORKER_LEASE_US = 15 * SECOND
         const val CANCEL_US = 40 * SECOND
         const val LATEST_US = 45_000_000
+        const val LONGEST_TROUBLE_US = 60 * SECOND
     }
 }
--- a/src/test/kotlin/lichenstage/world/WorldTest.kt
+++ b/src/test/kotlin/lichenstage/world/WorldTest.kt
@@ -27,6 +27,7 @@
                 Sabotage.IGNORED_LIMIT to "quota",
                 Sabotage.DONE_TOO_EARLY to "not_done",
                 Sabotage.CANCEL_UNHEARD to "ran_cancelled",
+                Sabotage.JOB_FORGOTTEN to "waiting",
                 Sabotage.COPIES_BELIEVED to "ran_twice",
                 Sabotage.CLEARED_AT_ONCE to "ran_twice",
             )
