--- a/src/main/kotlin/lichenstage/app/Controller.kt
+++ b/src/main/kotlin/lichenstage/app/Controller.kt
@@ -76,7 +76,7 @@
         JobsActor(
             state,
             settings.txnOps,
-            catalog,
+            catalog::flavors,
             settings.teams,
             authority::stateAnswers,
             forwarder,
--- a/src/main/kotlin/lichenstage/jobs/JobsActor.kt
+++ b/src/main/kotlin/lichenstage/jobs/JobsActor.kt
@@ -9,12 +9,12 @@
 import lichenstage.cluster.Counts
 import lichenstage.cluster.Forwarder
 import lichenstage.cluster.UserVerb
-import lichenstage.fleet.Catalog
 import lichenstage.fleet.Estimate
+import lichenstage.fleet.Flavor
 import lichenstage.state.Change
 import lichenstage.state.Committed
 import lichenstage.state.Read
-import lichenstage.state.StateClient
+import lichenstage.state.Store
 import java.util.concurrent.TimeUnit
 
 /** An answer to a user. */
@@ -43,9 +43,10 @@
  * what can't change any more is remembered.
  */
 class JobsActor(
-    private val state: StateClient,
+    private val state: Store,
     txnOps: Int,
-    private val catalog: Catalog,
+    /** The machine types; none while they are not known. */
+    private val flavors: () -> Map<String, Flavor>,
     private val teams: Map<String, Team>,
     private val stateAnswers: () -> Boolean,
     private val forwarder: Forwarder,
@@ -166,8 +167,9 @@
         if (spec.shape.cores > team.coresMax || spec.shape.cards > team.cardsMax) {
             return problem(422, "cores", "one task is over the team's limit")
         }
-        if (!catalog.known) return later("machine types are not known yet", 1)
-        if (Estimate.fitting(spec, catalog.flavors).isEmpty()) return problem(422, "builds", "a task fits no allowed machine type")
+        val flavors = flavors()
+        if (flavors.isEmpty()) return later("machine types are not known yet", 1)
+        if (Estimate.fitting(spec, flavors).isEmpty()) return problem(422, "builds", "a task fits no allowed machine type")
         return null
     }
 
--- a/src/main/kotlin/lichenstage/state/OwnedKeys.kt
+++ b/src/main/kotlin/lichenstage/state/OwnedKeys.kt
@@ -11,17 +11,6 @@
 class OwnedKeys(
     private val state: Store,
 ) {
-    /** What this needs of the state service. */
-    interface Store {
-        suspend fun read(key: String): Read
-
-        suspend fun commit(
-            guards: Map<String, Long>,
-            changes: List<Change>,
-            urgent: Boolean,
-        ): Committed
-    }
-
     /** The revision of each key that is there. */
     private val stamps = HashMap<String, Long>()
     private val unsure = HashSet<String>()
@@ -37,7 +26,7 @@
     ): Boolean {
         val keys = changes.map(::keyOf)
         for (key in keys) if (key in unsure && !reread(key)) return false
-        val outcome = state.commit(guards + keys.associateWith { stamps[it] ?: 0L }, changes, urgent)
+        val outcome = state.txn(guards + keys.associateWith { stamps[it] ?: 0L }, changes, urgent = urgent)
         if (outcome is Committed.Yes) {
             changes.forEach { if (it is Change.Put) stamps[it.key] = outcome.revision else stamps.remove(keyOf(it)) }
         } else if (outcome !is Committed.NotExecuted) {
@@ -47,7 +36,7 @@
     }
 
     private suspend fun reread(key: String): Boolean {
-        when (val found = state.read(key)) {
+        when (val found = state.get(key)) {
             is Read.Found -> stamps[key] = found.entry.stamp
             Read.Missing -> stamps.remove(key)
             Read.Unavailable -> return false
--- a/src/main/kotlin/lichenstage/state/StateClient.kt
+++ b/src/main/kotlin/lichenstage/state/StateClient.kt
@@ -76,6 +76,22 @@
     data object Unavailable : Watched
 }
 
+/** What the decisions about records need of the state service; a model of it stands in where they are tested. */
+interface Store {
+    suspend fun get(
+        key: String,
+        timeoutMs: Long = 1500,
+    ): Read
+
+    /** Bulk work ([urgent] false) takes what leases, users' requests and the ends of jobs leave. */
+    suspend fun txn(
+        guards: Map<String, Long>,
+        changes: List<Change>,
+        timeoutMs: Long = 2000,
+        urgent: Boolean = true,
+    ): Committed
+}
+
 /** The scan of a prefix, whole, with the revision from which a watch goes on. */
 data class Scan(
     val entries: List<Entry>,
@@ -96,7 +112,7 @@
     rps: Double,
     writeRps: Double,
     writeShare: () -> Double,
-) : OwnedKeys.Store {
+) : Store {
     private val http = JsonHttp(vertx, address, connections = REQUESTS, queue = 2000)
 
     /** Watches stay open for long: they have connections of their own, and so have leases, so that nothing holds up a renewal. */
@@ -105,9 +121,9 @@
     private val reads = RateBudget(clock) { rps / controllers }
     private val writes = RateBudget(clock) { writeRps * writeShare() }
 
-    suspend fun get(
+    override suspend fun get(
         key: String,
-        timeoutMs: Long = 1500,
+        timeoutMs: Long,
     ): Read {
         reads.take()
         val (status, body) = http.call(HttpMethod.GET, "/kv/$key", null, timeoutMs) ?: return Read.Unavailable
@@ -134,12 +150,11 @@
         }
     }
 
-    /** Bulk work ([urgent] false) takes what leases, users' requests and the ends of jobs leave. */
-    suspend fun txn(
+    override suspend fun txn(
         guards: Map<String, Long>,
         changes: List<Change>,
-        timeoutMs: Long = 2000,
-        urgent: Boolean = true,
+        timeoutMs: Long,
+        urgent: Boolean,
     ): Committed {
         reads.take(urgent = urgent)
         if (changes.isNotEmpty()) writes.take(changes.size, urgent)
@@ -157,14 +172,6 @@
         }
     }
 
-    override suspend fun read(key: String) = get(key)
-
-    override suspend fun commit(
-        guards: Map<String, Long>,
-        changes: List<Change>,
-        urgent: Boolean,
-    ) = txn(guards, changes, urgent = urgent)
-
     /** Grants a lease; null where that failed. */
     suspend fun grant(lifeUs: Long): Long? {
         val answer = leases.call(HttpMethod.POST, "/leases", JsonObject().put("life_ms", lifeUs / 1000), 1500)
--- a/src/test/kotlin/lichenstage/state/OwnedKeysTest.kt
+++ b/src/test/kotlin/lichenstage/state/OwnedKeysTest.kt
@@ -11,17 +11,20 @@
     /** A state service that now and then gives no answer, and carries such a transaction out at once, later, or never. */
     private class LateStore(
         private val random: Random,
-    ) : OwnedKeys.Store {
+    ) : Store {
         val entries = HashMap<String, Entry>()
         private val late = ArrayList<Pair<Map<String, Long>, List<Change>>>()
         private var revision = 0L
 
-        override suspend fun read(key: String) =
-            if (random.nextInt(8) == 0) Read.Unavailable else entries[key]?.let { Read.Found(it) } ?: Read.Missing
+        override suspend fun get(
+            key: String,
+            timeoutMs: Long,
+        ) = if (random.nextInt(8) == 0) Read.Unavailable else entries[key]?.let { Read.Found(it) } ?: Read.Missing
 
-        override suspend fun commit(
+        override suspend fun txn(
             guards: Map<String, Long>,
             changes: List<Change>,
+            timeoutMs: Long,
             urgent: Boolean,
         ): Committed {
             if (late.isNotEmpty() && random.nextInt(3) == 0) late.removeAt(random.nextInt(late.size)).let { apply(it.first, it.second) }
