Of two tries of a task the newer is the real one; a start of which nothing came back is not kept for ever

Now the newer supplants the older. A start that is no longer wanted and got no answer is given up after ten leases, as repeats are; it took room and limit for ever. Tests: LeaderCoreTest, PartCoreTest; the first fails without the mend.

--- a/src/main/kotlin/lichenstage/part/Machine.kt
+++ b/src/main/kotlin/lichenstage/part/Machine.kt
@@ -44,8 +44,14 @@
 
     private fun underWay(now: Long) = inFlight > 0 || now - answeredUs <= ANSWER_LIFE_US
 
-    /** No copy of the start can still be under way, so that one that isn't listed never happened. */
-    fun settled(now: Long) = !unclear && !underWay(now)
+    /**
+     * No copy of the start can still be under way, so that one that isn't listed never happened. One of which nothing came back counts
+     * as under way for as long as repeats are expected, and not for ever: it takes room of its machine and of its team's limit.
+     */
+    fun settled(
+        now: Long,
+        repeatsUs: Long,
+    ) = !underWay(now) && (!unclear || now - sentUs > repeatsUs)
 
     /**
      * Whether the worker may forget this attempt (invariant 6). A repeat of an order that was carried out can come late, and
--- a/src/main/kotlin/lichenstage/part/PartCore.kt
+++ b/src/main/kotlin/lichenstage/part/PartCore.kt
@@ -370,7 +370,7 @@
         now: Long,
     ) {
         if (machine !in unwanted) return
-        if (machine.drop { !it.present && it.stopWanted && it.settled(now) }) {
+        if (machine.drop { !it.present && it.stopWanted && it.settled(now, repeatsUs) }) {
             machine.changed()
             touch(machine)
         }
--- a/src/main/kotlin/lichenstage/placement/LeaderCore.kt
+++ b/src/main/kotlin/lichenstage/placement/LeaderCore.kt
@@ -243,19 +243,29 @@
                 job.runningUs = now
             }
             known.phase = task.phase
-        } else if (known == null && view.settled && view.name in registry) {
+        } else if (view.settled && view.name in registry && (known == null || task.attempt > known.number)) {
             // Started by an earlier leader. Not on a machine without record: that one is gone, as its part will find (invariant 4),
             // and its tasks may run elsewhere by now. (Seen on inc-2104: they were taken for the real ones, which were stopped.)
+            // Of two the newer is the real one: it was started only once the older was known to be gone, and what lists the older
+            // is a machine that was given back with no time left to record it.
             val attempt = Attempt(job, index, task.attempt, view.name, id)
             attempt.partTerm = part.term
             attempt.seq = part.seq
             attempt.phase = task.phase
+            if (known != null) supplant(known)
             ledger.track(attempt)
         } else if (known != null) {
-            log.error("{} is on {} with try {} and on {} with try {}", task.task, view.name, task.attempt, known.machine, known.number)
+            log.info("{} is on {} with try {} and on {} with try {}", task.task, view.name, task.attempt, known.machine, known.number)
         }
     }
 
+    /** A newer attempt has come to light: this one is counted no more, and its machine is to stop what it may still list. */
+    private fun supplant(attempt: Attempt) {
+        log.info("{} try {} on {} was followed by another", attempt.task, attempt.number, attempt.machine)
+        ledger.remove(attempt)
+        parts[attempt.part]?.machines?.get(attempt.machine)?.let { collect(attempt.part, it) }
+    }
+
     private fun learn(
         attempt: Attempt?,
         now: Long,
--- a/src/test/kotlin/lichenstage/part/PartCoreTest.kt
+++ b/src/test/kotlin/lichenstage/part/PartCoreTest.kt
@@ -318,6 +318,27 @@
         ) { "kept" }
     }
 
+    @Example
+    fun `a start of which nothing came back does not take its room for ever once it is not wanted`() {
+        val part = part()
+        val order = started(part)
+        part.ordered(order, OrderOutcome.Unclear, SECOND)
+        part.leader(frame(stops = listOf(AttemptOrder("m", "j-1/0", 1))), SECOND)
+
+        fun tasks(now: Long): Int {
+            part.report(report(5), now)
+            part.tick(now)
+            return part
+                .frame(now)
+                ?.machines
+                ?.singleOrNull()
+                ?.tasks
+                ?.size ?: -1
+        }
+        condition((1L..9).all { tasks(it * LEASE) != 0 }) { "forgotten while a copy may be under way" }
+        condition(tasks(11 * LEASE) == 0) { "kept for ever" }
+    }
+
     @Example
     fun `a machine with something of unknown size on it is full`() {
         val part = part()
--- a/src/test/kotlin/lichenstage/placement/LeaderCoreTest.kt
+++ b/src/test/kotlin/lichenstage/placement/LeaderCoreTest.kt
@@ -154,6 +154,27 @@
         condition(sent("z").flatMap { it.stops }.none { it.machine == "m1" }) { "the real one was stopped" }
     }
 
+    /** Found by our own day of meetings: a machine was given back a second before the leader ended, and was still in the record. */
+    @Example
+    fun `of two tries of a task the newer is the real one, in whatever order they come to light`() {
+        for (newerFirst in listOf(false, true)) {
+            effects.clear()
+            val leader = leader()
+            leader.inherited(inherited("back", "m1"))
+            leader.jobAdded(job("j-1"))
+            val views = listOf(view("back", TaskView("j-1/0", 3, TaskPhase.RUNNING)), view("m1", TaskView("j-1/0", 4, TaskPhase.RUNNING)))
+            leader.frame(part("z", 0, *(if (newerFirst) views.reversed() else views).toTypedArray()), SECOND)
+            condition(leader.attemptsOn("back").isEmpty()) { "the older is still counted" }
+            condition(leader.attemptsOn("m1").single().number == 4L) { "the newer is not known" }
+            leader.tick(SECOND)
+            condition(sent("z").flatMap { it.stops }.map { it.machine } == listOf("back")) { "${sent("z").flatMap { it.stops }}" }
+            leader.frame(part("z", 0, view("back", lost = true)), 2 * SECOND)
+            leader.tick(2 * SECOND)
+            leader.tick(3 * SECOND)
+            condition(lastAsk().asks.single().count == 1) { "more than the other task is asked for: ${lastAsk().asks}" }
+        }
+    }
+
     @Example
     fun `a late copy that names a machine without record keeps nobody waiting`() {
         val leader = leader()
