--- a/src/test/kotlin/lichenstage/standin/Smoke.kt
+++ b/src/test/kotlin/lichenstage/standin/Smoke.kt
@@ -75,6 +75,15 @@
                 status(0, "POST", "/api/jobs", job(2, 40)) == 201 && status(1, "POST", "/api/jobs/j-2/cancel") == 200 &&
                     state(2, 2) == "cancelled"
             }
+            check("a pipeline is done stage by stage") {
+                pipeline(20, 2) && eventually { state(1, 22) == "done" && state(2, 20) == "done" && state(0, 21) == "done" }
+            }
+            check("a pipeline is cancelled with its first job") {
+                pipeline(30, 60) && state(1, 32) == "pending" && status(2, "POST", "/api/jobs/j-30/cancel") == 200 &&
+                    eventually { state(0, 31) == "cancelled" && state(1, 32) == "cancelled" } &&
+                    status(1, "POST", "/api/jobs", stage(33, 2, 32)) in 200..201 && state(2, 33) == "cancelled"
+            }
+            check("a job that names one that was never accepted is 422") { status(0, "POST", "/api/jobs", stage(40, 2, 999)) == 422 }
             check("work goes on when each process is killed in turn") {
                 zones.indices.all { node ->
                     val id = 10 + node
@@ -95,6 +104,20 @@
         return if (failed == 0) 0 else 1
     }
 
+    /** Three jobs, each of which waits for the one before, submitted through one process after the other. */
+    private fun pipeline(
+        first: Int,
+        tasks: Int,
+    ): Boolean =
+        status(0, "POST", "/api/jobs", job(first, tasks)) in 200..201 &&
+            (1..2).all { n -> status(n, "POST", "/api/jobs", stage(first + n, tasks, first + n - 1)) in 200..201 }
+
+    private fun stage(
+        id: Int,
+        tasks: Int,
+        needs: Int,
+    ) = JsonObject(job(id, tasks)).put("waits_on", JsonArray().add("j-$needs")).encode()
+
     private fun started(
         task: String,
         machine: String,
