--- a/src/test/kotlin/lichenstage/jobs/JobsActorTest.kt
+++ b/src/test/kotlin/lichenstage/jobs/JobsActorTest.kt
@@ -21,7 +21,7 @@
 import lichenstage.standin.submission
 import lichenstage.state.Change
 import lichenstage.state.Committed
-import lichenstage.state.Entry
+import lichenstage.state.MemoryStore
 import lichenstage.state.Read
 import lichenstage.state.Store
 import net.jqwik.api.Example
@@ -39,18 +39,14 @@
     private class SlowStore(
         private val random: Random,
         private val scope: CoroutineScope,
-    ) : Store {
-        val entries = HashMap<String, Entry>()
-        var revision = 0L
-            private set
-
+    ) : MemoryStore() {
         override suspend fun get(
             key: String,
             timeoutMs: Long,
         ): Read {
             delay(1 + random.nextLong(80))
             if (random.nextInt(12) == 0) return Read.Unavailable
-            return entries[key]?.let { Read.Found(it) } ?: Read.Missing
+            return read(key)
         }
 
         override suspend fun txn(
@@ -68,22 +64,6 @@
             }
         }
 
-        fun apply(
-            guards: Map<String, Long>,
-            changes: List<Change>,
-        ): Committed {
-            val failed = guards.filter { (key, stamp) -> (entries[key]?.stamp ?: 0) != stamp }.keys
-            if (failed.isNotEmpty()) return Committed.Refused(failed.toList())
-            revision++
-            for (change in changes) {
-                when (change) {
-                    is Change.Put -> entries[change.key] = Entry(change.key, change.value, revision)
-                    is Change.Delete -> entries.remove(change.key)
-                }
-            }
-            return Committed.Yes(revision)
-        }
-
         /** The leader's word that all tasks are done, which there is only once all that the job needs is recorded as done. */
         fun finish(id: String): Boolean {
             val open = entries["j/$id"] ?: return false
--- /dev/null
+++ b/src/test/kotlin/lichenstage/state/MemoryStore.kt
@@ -0,0 +1,26 @@
+package lichenstage.state
+
+/** Keys, guards and revisions of the state service as the protocol has them; each test brings its own ways of failing. */
+internal abstract class MemoryStore : Store {
+    val entries = HashMap<String, Entry>()
+    var revision = 0L
+        private set
+
+    fun read(key: String): Read = entries[key]?.let { Read.Found(it) } ?: Read.Missing
+
+    fun apply(
+        guards: Map<String, Long>,
+        changes: List<Change>,
+    ): Committed {
+        val failed = guards.filter { (key, stamp) -> (entries[key]?.stamp ?: 0) != stamp }.keys
+        if (failed.isNotEmpty()) return Committed.Refused(failed.toList())
+        revision++
+        for (change in changes) {
+            when (change) {
+                is Change.Put -> entries[change.key] = Entry(change.key, change.value, revision)
+                is Change.Delete -> entries.remove(change.key)
+            }
+        }
+        return Committed.Yes(revision)
+    }
+}
--- a/src/test/kotlin/lichenstage/state/OwnedKeysTest.kt
+++ b/src/test/kotlin/lichenstage/state/OwnedKeysTest.kt
@@ -11,15 +11,13 @@
     /** A state service that now and then gives no answer, and carries such a transaction out at once, later, or never. */
     private class LateStore(
         private val random: Random,
-    ) : Store {
-        val entries = HashMap<String, Entry>()
+    ) : MemoryStore() {
         private val late = ArrayList<Pair<Map<String, Long>, List<Change>>>()
-        private var revision = 0L
 
         override suspend fun get(
             key: String,
             timeoutMs: Long,
-        ) = if (random.nextInt(8) == 0) Read.Unavailable else entries[key]?.let { Read.Found(it) } ?: Read.Missing
+        ) = if (random.nextInt(8) == 0) Read.Unavailable else read(key)
 
         override suspend fun txn(
             guards: Map<String, Long>,
@@ -37,22 +35,6 @@
         }
 
         fun applyLate() = late.forEach { apply(it.first, it.second) }
-
-        private fun apply(
-            guards: Map<String, Long>,
-            changes: List<Change>,
-        ): Committed {
-            val failed = guards.filter { (key, stamp) -> (entries[key]?.stamp ?: 0) != stamp }.keys
-            if (failed.isNotEmpty()) return Committed.Refused(failed.toList())
-            revision++
-            for (change in changes) {
-                when (change) {
-                    is Change.Put -> entries[change.key] = Entry(change.key, change.value, revision)
-                    is Change.Delete -> entries.remove(change.key)
-                }
-            }
-            return Committed.Yes(revision)
-        }
     }
 
     @Property(tries = 500, seed = "17")
