A key put and deleted while nothing was heard is gone; a scan takes back no newer key

A watch that was interrupted brings all changes at once; deletes were applied before puts, so that a key that had been put and deleted meanwhile stayed as held by its last owner, and was nobody's to take until the next change. A scan that began before a key was taken forgot it until the watch brought it again, which ended the leadership and began it anew under the same term. OwnershipKeysTest has both; before, it failed on both (by reading of the code: its calls are new).

--- a/src/main/kotlin/lichenstage/authority/Authority.kt
+++ b/src/main/kotlin/lichenstage/authority/Authority.kt
@@ -201,7 +201,7 @@
                 delay(300)
                 continue
             }
-            keys.reset(scan.entries)
+            keys.reset(scan.entries, scan.revision)
             if (!watching) revokePredecessor()
             watching = true
             changed(view())
@@ -231,8 +231,7 @@
     }
 
     private suspend fun take(events: Watched.Events) {
-        events.deletes.forEach { keys.remove(it.key, it.stamp) }
-        events.puts.forEach(keys::put)
+        keys.change(events.puts, events.deletes)
         if (events.puts.isEmpty() && events.deletes.isEmpty()) return
         changed(view())
         acquireMissing()
--- a/src/main/kotlin/lichenstage/authority/OwnershipKeys.kt
+++ b/src/main/kotlin/lichenstage/authority/OwnershipKeys.kt
@@ -42,13 +42,29 @@
 
     fun stamp(key: String): Long? = keys[key]?.stamp
 
-    /** All of them, read whole. */
-    fun reset(entries: List<Entry>) {
-        keys.clear()
-        holders.clear()
+    /** All of them as of [revision], read whole. What is known to have changed since stays. */
+    fun reset(
+        entries: List<Entry>,
+        revision: Long,
+    ) {
+        keys.values.removeIf { it.stamp <= revision }
+        holders.keys.retainAll(keys.keys)
         entries.forEach(::put)
     }
 
+    /**
+     * What has changed, in any order. A key that was put and then deleted is gone: taken for held, as it once was after a watch that
+     * had been interrupted, it would be nobody's to take.
+     */
+    fun change(
+        puts: List<Entry>,
+        deletes: List<Entry>,
+    ) {
+        val deletedAt = deletes.groupBy { it.key }.mapValues { (_, rows) -> rows.maxOf { it.stamp } }
+        deletes.forEach { remove(it.key, it.stamp) }
+        puts.filter { it.stamp > (deletedAt[it.key] ?: Long.MIN_VALUE) }.forEach(::put)
+    }
+
     /** The key as of a newer change. */
     fun put(entry: Entry) {
         if (isOld(entry.key, entry.stamp)) return
--- /dev/null
+++ b/src/test/kotlin/lichenstage/authority/OwnershipKeysTest.kt
@@ -0,0 +1,40 @@
+package lichenstage.authority
+
+import io.vertx.core.json.JsonObject
+import lichenstage.state.Entry
+import net.jqwik.api.Example
+import org.junit.platform.commons.util.Preconditions.condition
+
+/** The keys of ownership as a watch and a scan bring them. */
+class OwnershipKeysTest {
+    private val keys = OwnershipKeys()
+
+    private fun held(
+        stamp: Long,
+        label: String = "n0",
+    ) = Entry(KEY, JsonObject().put("label", label).put("term", stamp).put("lease", 1L), stamp)
+
+    private fun deleted(stamp: Long) = Entry(KEY, JsonObject(), stamp)
+
+    /** Guards against a key that nobody takes since it is taken for held by one who has let go of it. */
+    @Example
+    fun `a key that was put and deleted while nothing was heard is gone`() {
+        keys.change(listOf(held(5)), listOf(deleted(7)))
+        condition(KEY !in keys) { "${keys.holder(KEY)}" }
+        keys.change(listOf(held(8), held(10, "n1")), listOf(deleted(9)))
+        condition(keys.holder(KEY)?.label == "n1") { "${keys.holder(KEY)}" }
+    }
+
+    @Example
+    fun `a scan does not take back what has changed since it began`() {
+        keys.change(listOf(held(5)), emptyList())
+        keys.reset(emptyList(), 4)
+        condition(keys.holder(KEY)?.stamp == 5L) { "forgotten: ${keys.holder(KEY)}" }
+        keys.reset(emptyList(), 6)
+        condition(KEY !in keys && keys.holder(KEY) == null) { "kept: ${keys.holder(KEY)}" }
+    }
+
+    private companion object {
+        const val KEY = "c/leader"
+    }
+}
