--- a/src/main/kotlin/lichenstage/app/Controller.kt
+++ b/src/main/kotlin/lichenstage/app/Controller.kt
@@ -37,6 +37,7 @@
 import lichenstage.partition.WorkerClient
 import lichenstage.placement.LeaderActor
 import lichenstage.placement.LeaderMessage
+import lichenstage.placement.LeaderOptions
 import lichenstage.state.StateClient
 import org.slf4j.LoggerFactory
 
@@ -190,8 +191,7 @@
                 scope,
                 mine.term,
                 mine.stamp,
-                operator.fleet(FleetPolicy()),
-                operator.timers,
+                LeaderOptions(operator.fleet(FleetPolicy()), operator.timers, operator.drains),
                 links::send,
             )
     }
--- a/src/main/kotlin/lichenstage/app/Main.kt
+++ b/src/main/kotlin/lichenstage/app/Main.kt
@@ -6,6 +6,7 @@
 import kotlinx.coroutines.CoroutineExceptionHandler
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.SupervisorJob
+import lichenstage.drain.DrainCommand
 import picocli.CommandLine
 import picocli.CommandLine.Model.CommandSpec
 import picocli.CommandLine.Model.OptionSpec
@@ -14,11 +15,20 @@
 import kotlin.system.exitProcess
 
 /** The command line. */
-fun main(args: Array<String>) = exitUnlessServing(run(args))
+fun main(args: Array<String>) {
+    // Before all else: reading the settings makes the first logger, and later levels would not be heard.
+    logTo(System.getenv("LOG_LEVEL"))
+    exitUnlessServing(if (args.firstOrNull() == DRAIN) drain(args.drop(1)) else run(args))
+}
+
+private fun drain(args: List<String>) = DrainCommand({ readFile(it, Settings::parse) }, ::println, System.err::println).run(args)
 
 /** 0 means that the service runs on in its own threads. */
 private const val SERVING = -1
 
+/** The command for drains, beside the service. */
+private const val DRAIN = "drain"
+
 /** Arguments or settings that can't be used. */
 private const val BAD_ARGUMENTS = 2
 
@@ -55,8 +65,6 @@
 }
 
 private fun run(args: Array<String>): Int {
-    // Before all else: reading the settings makes the first logger, and later levels would not be heard.
-    logTo(System.getenv("LOG_LEVEL"))
     val line = commandLine()
     val parsed =
         try {
@@ -90,7 +98,7 @@
     val operator: Operator
     try {
         settings = readFile(settingsPath, Settings::parse)
-        operator = if (operatorPath == null) Operator() else readFile(operatorPath, Operator::parse)
+        operator = if (operatorPath == null) Operator() else readFile(operatorPath) { Operator.parse(it).apply { check(settings) } }
     } catch (e: SettingsError) {
         return refused(e.message)
     }
--- a/src/main/kotlin/lichenstage/app/Operator.kt
+++ b/src/main/kotlin/lichenstage/app/Operator.kt
@@ -2,6 +2,9 @@
 
 import com.bertramlabs.plugins.hcl4j.HCLParser
 import com.bertramlabs.plugins.hcl4j.HCLParserException
+import lichenstage.drain.DisruptionBudget
+import lichenstage.drain.DrainPolicy
+import lichenstage.drain.Hours
 import lichenstage.fleet.FleetPolicy
 import lichenstage.placement.Timers
 
@@ -9,7 +12,15 @@
 data class Operator(
     val timers: Timers = Timers(),
     val fleet: (FleetPolicy) -> FleetPolicy = { it },
+    /** Null where drains are not switched on. */
+    val drains: DrainPolicy? = null,
 ) {
+    /** What the file says has to fit the deployment. */
+    fun check(settings: Settings) {
+        val unknown = drains?.byTeam?.keys?.firstOrNull { it !in settings.teams } ?: return
+        throw SettingsError("drains.teams.$unknown: unknown team")
+    }
+
     companion object {
         /** Reads HCL; unknown keys and values out of range are refused with their path. */
         fun parse(text: String): Operator {
@@ -23,6 +34,7 @@
             val top = Block(root, "")
             val placement = top.section("placement")
             val fleet = top.section("fleet")
+            val drains = if (top.has("drains")) drains(top.section("drains")) else null
             top.finish()
             val defaults = Timers()
             val timers =
@@ -37,13 +49,37 @@
             val settleUs = fleet.whole("settle_s", 0, 86_400)?.times(SECOND)
             val fill = fleet.whole("fill_percent", 10, 100)?.div(100.0)
             fleet.finish()
-            return Operator(timers) { policy ->
+            val policy = { policy: FleetPolicy ->
                 policy.copy(
                     backlogUs = backlogUs ?: policy.backlogUs,
                     settleUs = settleUs ?: policy.settleUs,
                     fill = fill ?: policy.fill,
                 )
             }
+            return Operator(timers, policy, drains)
+        }
+
+        private fun drains(block: Block): DrainPolicy {
+            val failures = block.whole("replacement_failures", 1, 100)?.toInt()
+            val default = if (block.has("default")) budget(block.section("default")) else null
+            val teams = block.section("teams")
+            val byTeam = teams.keys.associateWith { budget(teams.section(it)) }
+            teams.finish()
+            block.finish()
+            val policy = DrainPolicy(byTeam = byTeam)
+            return policy.copy(default = default ?: policy.default, replacementFailures = failures ?: policy.replacementFailures)
+        }
+
+        private fun budget(block: Block): DisruptionBudget {
+            val budget =
+                DisruptionBudget(
+                    jobs = block.whole("jobs", 0, 1_000_000)?.toInt(),
+                    share = block.whole("share_percent", 0, 100)?.div(100.0),
+                    hours = block.hours("hours"),
+                    neverClasses = block.texts("never").toSet(),
+                )
+            block.finish()
+            return budget
         }
     }
 
@@ -54,6 +90,25 @@
     ) {
         private val asked = HashSet<String>()
 
+        val keys: Set<String> get() = values.keys
+
+        fun has(key: String) = key in values
+
+        /** Texts in a list; none where the key is left out. */
+        fun texts(key: String): List<String> {
+            val value = take(key) ?: return emptyList()
+            val list = value as? List<*> ?: fail(key, "a list of texts is needed")
+            return list.map { it as? String ?: fail(key, "a list of texts is needed") }
+        }
+
+        /** Hours of the day as "FROM-TO", or null. */
+        fun hours(key: String): Hours? {
+            val value = take(key) ?: return null
+            val parts = (value as? String)?.split('-')?.map { it.toIntOrNull() ?: -1 }.orEmpty()
+            if (parts.size != 2 || parts.any { it !in 0..24 }) fail(key, "hours of the day as \"FROM-TO\" are needed")
+            return Hours(parts[0], parts[1])
+        }
+
         private fun take(key: String): Any? {
             asked += key
             return values[key]
--- a/src/main/kotlin/lichenstage/app/WarmUp.kt
+++ b/src/main/kotlin/lichenstage/app/WarmUp.kt
@@ -75,9 +75,9 @@
     leader.registered(mapOf("m" to "z/0"))
     val partition = PartitionCore("z/0", "z", 2, 20 * SECOND, SECOND, 0) { MachineLimits("b", shape) }
     for (now in 1L..6L) {
-        val tasks = if (now < 5) "" else """{"partition":"j-1/0","try":4294967297,"status":"ended","cause":"done"}"""
+        val tasks = if (now < 5) "" else """{"part":"j-1/0","try":4294967297,"status":"ended","cause":"done"}"""
         val report =
-            """{"holdfast":"m","addr":"127.0.0.1:1","build":"b","yard":"z","tenure":1,"tally":$now,"warrant":2,"partitions":[$tasks]}"""
+            """{"holdfast":"m","addr":"127.0.0.1:1","build":"b","yard":"z","tenure":1,"tally":$now,"warrant":2,"parts":[$tasks]}"""
         (partition.report(WorkerCodec.report(Buffer.buffer(report))!!, now * SECOND) as ReportAnswer.Accepted)
             .let { WorkerCodec.orders(it.token, it.commands).encode() }
         leader.tick(now * SECOND)
--- /dev/null
+++ b/src/main/kotlin/lichenstage/drain/DrainCore.kt
@@ -0,0 +1,156 @@
+package lichenstage.drain
+
+import kotlinx.collections.immutable.PersistentMap
+
+/**
+ * The drains of one term of leadership. Plain code: it is shown the drains that were asked for and the cluster, and names what is to be
+ * recorded; what rests on a record is done only once that is written (the state before counts until then).
+ *
+ * Guards against a leader that forgets an interruption: each is recorded before its task is stopped, so that whoever leads next counts it.
+ */
+class DrainCore(
+    private val policy: DrainPolicy,
+    private val view: DrainView,
+    recorded: DrainState,
+    /** How many interruptions can be recorded. Half of them are for what fails by itself. */
+    private val mostInterruptions: Int,
+) {
+    private class Pending(
+        val proposal: DrainProposal,
+        val from: DrainState,
+        /** The hired machines that it takes account of. */
+        val hired: Map<DrainKey, String>,
+    )
+
+    /** As it is recorded. */
+    var state = recorded
+        private set
+
+    /** Drains as operators last asked for them. */
+    var drains: List<Drain> = emptyList()
+        private set
+    private var pending: Pending? = null
+
+    /** Hires that were asked for and not answered. */
+    private val hiring = HashSet<DrainKey>()
+
+    /** Of drains that were asked to pause or finish, until that shows. */
+    private val ending = HashSet<String>()
+
+    /** What has happened besides, to be recorded with the next step. */
+    private var lost = ArrayList<Interruption>()
+    private val hired = HashMap<DrainKey, String>()
+
+    /** Some drain goes on. */
+    val isActive get() = drains.any { it.status == DrainStatus.RUNNING }
+
+    /** Machines that get no more tasks. */
+    val cordoned: Set<String> get() = namesOf { it.stage.isCordoned }
+
+    /** Machines that are to prove themselves: they get one task. */
+    val onProbation: Set<String> get() = replacements { it.stage == Stage.PREPARING }
+
+    /** Replacements of machines that are still there: the fleet has one machine too many for each. */
+    val spare: Set<String> get() = replacements { !it.stage.isOver }
+
+    private fun running() = drains.filter { it.status == DrainStatus.RUNNING }.mapTo(HashSet()) { it.name }
+
+    private fun rows(which: (DrainedMachine) -> Boolean): List<DrainedMachine> {
+        val names = running()
+        return if (names.isEmpty()) emptyList() else state.machines.values.filter { it.drain in names && which(it) }
+    }
+
+    private fun namesOf(which: (DrainedMachine) -> Boolean) = rows(which).mapTo(HashSet()) { it.name }
+
+    private fun replacements(which: (DrainedMachine) -> Boolean) = rows(which).mapNotNullTo(HashSet()) { it.replacement }
+
+    /** The drains as their records stand, with the machines of those that are new. */
+    fun asked(
+        current: List<Drain>,
+        machines: List<DrainedMachine>,
+    ) {
+        drains = current
+        ending.retainAll(running())
+        val news = machines.filter { it.key !in state.machines }
+        if (news.isNotEmpty()) state = state.copy(machines = state.machines.putAll(news.associateBy { it.key }))
+    }
+
+    /** A task that ran does not any more, and not for a drain. Counted only while there is a drain that it may hold up. */
+    fun lost(interruption: Interruption) {
+        if (isActive && interruption.task !in state.interruptions && lost.size < MOST_LOST) lost += interruption
+    }
+
+    /** A machine was hired to follow another. */
+    fun hired(
+        key: DrainKey,
+        machine: String,
+    ) {
+        hiring -= key
+        hired[key] = machine
+    }
+
+    /** Where nothing is under way and something changes, the state to be recorded before anything else is done. */
+    fun step(
+        nowUs: Long,
+        hour: Int,
+    ): DrainState? {
+        if (!view.complete || pending != null || !isActive) return null
+        val before = withNews(state, nowUs)
+        val proposal = DrainPlan(policy, view, hour, nowUs, mostInterruptions / 2, before).next(drains.filter { it.name !in ending })
+        pending = Pending(proposal, state, HashMap(hired))
+        return proposal.state
+    }
+
+    /** A replacement's time begins when it was hired, however long that was refused. */
+    private fun withNews(
+        before: DrainState,
+        nowUs: Long,
+    ): DrainState {
+        var machines: PersistentMap<DrainKey, DrainedMachine> = before.machines
+        for ((key, name) in hired) machines[key]?.let { machines = machines.put(key, it.copy(replacement = name, sinceUs = nowUs)) }
+        var interruptions = before.interruptions
+        for (row in lost) {
+            if (row.task !in interruptions &&
+                interruptions.size < mostInterruptions
+            ) {
+                interruptions = interruptions.put(row.task, row)
+            }
+        }
+        return DrainState(machines, interruptions)
+    }
+
+    /** The state of the last step is recorded, or could not be; returns what may be done now. */
+    fun recorded(ok: Boolean): List<DrainAct> {
+        val done = pending ?: return emptyList()
+        pending = null
+        if (!ok) return emptyList()
+        // What was asked for meanwhile has come to the state before.
+        val news = state.machines.filterKeys { it !in done.from.machines }
+        state =
+            done.proposal.state.copy(
+                machines =
+                    done.proposal.state.machines
+                        .putAll(news),
+            )
+        done.hired.forEach { (key, name) -> hired.remove(key, name) }
+        lost.removeAll { it.task in state.interruptions }
+        return done.proposal.acts.filter(::isNew)
+    }
+
+    private fun isNew(act: DrainAct) =
+        when (act) {
+            is DrainAct.HireLike -> act.key !in hired && hiring.add(act.key)
+            is DrainAct.Pause -> ending.add(act.drain)
+            is DrainAct.Finish -> ending.add(act.drain)
+            else -> true
+        }
+
+    /** The record of a drain could not be changed: it is asked for again. */
+    fun notEnded(drain: String) {
+        ending -= drain
+    }
+
+    private companion object {
+        const val MOST_LOST = 2_000
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/lichenstage/drain/DrainDriver.kt
@@ -0,0 +1,255 @@
+package lichenstage.drain
+
+import io.vertx.core.json.JsonObject
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import lichenstage.app.MILLI
+import lichenstage.app.SECOND
+import lichenstage.app.timeOfDayUs
+import lichenstage.state.Change
+import lichenstage.state.Committed
+import lichenstage.state.Entry
+import lichenstage.state.OwnedKeys
+import lichenstage.state.Scan
+import lichenstage.state.Store
+import org.slf4j.LoggerFactory
+import java.time.Instant
+import java.time.ZoneOffset
+
+/** What the driver of drains is told by what it has set going. */
+sealed interface DrainMessage {
+    /** All records, read whole. */
+    data class Read(
+        val entries: List<Entry>,
+    ) : DrainMessage
+
+    /** The state of the last step is recorded, or not. */
+    data class Recorded(
+        val written: Map<String, JsonObject>,
+        val ok: Boolean,
+    ) : DrainMessage
+
+    /** The record of a drain was changed, or not. */
+    data class Ended(
+        val drain: String,
+        val ok: Boolean,
+    ) : DrainMessage
+}
+
+/** What the leader does for drains. */
+interface DrainHands {
+    /** Stop these tasks. */
+    fun interrupt(tasks: List<RunningTask>)
+
+    /** Hire a machine of the type, zone and kind of the one that [key] names; it is told by [DrainDriver.hired]. */
+    fun hireLike(key: DrainKey)
+
+    /** Return a machine on which nothing is left. */
+    fun giveBack(machine: String)
+}
+
+/** Where the driver reads and writes: [scan] is null where the state service does not answer. */
+class DrainStore(
+    val store: Store,
+    val owned: OwnedKeys,
+    /** The revision of the leadership's key: nothing is written but under it. */
+    val leaderGuard: Map<String, Long>,
+    val txnOps: Int,
+    val scan: suspend (String) -> Scan?,
+)
+
+/** Keeps drains going for one term of leadership: reads what operators ask for, records each step, and has it carried out. */
+class DrainDriver(
+    private val policy: DrainPolicy,
+    private val view: DrainView,
+    private val records: DrainRecords,
+    private val access: DrainStore,
+    private val hands: DrainHands,
+    private val tracing: DrainTracing,
+    private val scope: CoroutineScope,
+    private val tell: (DrainMessage) -> Unit,
+) {
+    private val log = LoggerFactory.getLogger("lichenstage.drain")
+    private var core: DrainCore? = null
+    private var recorded: Map<String, JsonObject> = emptyMap()
+    private var writing = false
+    private var reading = false
+    private var readUs = Long.MIN_VALUE / 2
+    private var steppedUs = Long.MIN_VALUE / 2
+
+    /** Records that can't be read, told once each. */
+    private val complained = HashSet<String>()
+
+    /** The stamps of the drains' records as last read, for changes of them. */
+    private val stamps = HashMap<String, Long>()
+
+    /** Machines that get no more tasks. */
+    val cordoned: Set<String> get() = core?.cordoned.orEmpty()
+
+    /** Machines that get one task at a time. */
+    val onProbation: Set<String> get() = core?.onProbation.orEmpty()
+
+    /** Machines that the fleet does not meet demand with. */
+    val uncounted: Set<String> get() = core?.let { it.cordoned + it.spare }.orEmpty()
+
+    /** A machine was hired for a request of [DrainHands.hireLike]. */
+    fun hired(
+        key: DrainKey,
+        machine: String,
+    ) = core?.hired(key, machine) ?: Unit
+
+    /** A task that ran does not any more. */
+    fun taskStopped(interruption: Interruption) = core?.lost(interruption) ?: Unit
+
+    /** Time has passed; [now] is steady. */
+    fun step(now: Long) {
+        if (!reading && now - readUs >= READ_US) read(now)
+        val drains = core ?: return
+        if (writing || now - steppedUs < STEP_US) return
+        steppedUs = now
+        val atUs = timeOfDayUs()
+        val next = drains.step(atUs, hourOf(atUs)) ?: return
+        record(next)
+    }
+
+    private fun hourOf(atUs: Long) = Instant.ofEpochMilli(atUs / MILLI).atOffset(ZoneOffset.UTC).hour
+
+    private fun read(now: Long) {
+        reading = true
+        readUs = now
+        scope.launch {
+            val scan = access.scan(DrainRecords.PREFIX)
+            tell(DrainMessage.Read(scan?.entries ?: NOT_READ))
+        }
+    }
+
+    private fun record(state: DrainState) {
+        val wanted = records.encodeState(state)
+        val changes = DrainRecords.changes(recorded, wanted)
+        if (changes.isEmpty()) return carryOut(recorded = true)
+        writing = true
+        scope.launch {
+            val ok = changes.chunked(access.txnOps).all { access.owned.write(access.leaderGuard, it, urgent = false) }
+            if (!ok) delay(RETRY_MS)
+            tell(DrainMessage.Recorded(wanted, ok))
+        }
+    }
+
+    private fun carryOut(recorded: Boolean) {
+        val drains = core ?: return
+        for (act in drains.recorded(recorded)) {
+            tracing.act(act)
+            when (act) {
+                is DrainAct.Interrupt -> hands.interrupt(act.tasks)
+                is DrainAct.HireLike -> hands.hireLike(act.key)
+                is DrainAct.GiveBack -> hands.giveBack(act.machine)
+                is DrainAct.Pause -> end(act.drain, DrainStatus.PAUSED, act.reason)
+                is DrainAct.Finish -> end(act.drain, DrainStatus.FINISHED, null)
+            }
+        }
+    }
+
+    /** Changes the record of a drain as operators do, on the condition that it is as it was read. */
+    private fun end(
+        name: String,
+        status: DrainStatus,
+        reason: String?,
+    ) {
+        val drain = core?.drains?.firstOrNull { it.name == name } ?: return
+        log.info("drain {} is {}{}", name, status.name.lowercase(), reason?.let { ": $it" }.orEmpty())
+        val key = DrainRecords.DRAINS + name
+        val guards = access.leaderGuard + (key to (stamps[key] ?: 0L))
+        val change = Change.Put(key, records.encode(drain.copy(status = status, reason = reason)))
+        scope.launch {
+            val outcome = access.store.txn(guards, listOf(change), urgent = false)
+            tell(DrainMessage.Ended(name, outcome is Committed.Yes))
+        }
+    }
+
+    /** What was set going has an outcome. */
+    fun handle(message: DrainMessage) {
+        when (message) {
+            is DrainMessage.Read -> {
+                reading = false
+                if (message.entries !== NOT_READ) take(message.entries)
+            }
+
+            is DrainMessage.Recorded -> {
+                writing = false
+                // Where that is not known, all is written again.
+                recorded = if (message.ok) recorded + message.written else emptyMap()
+                carryOut(message.ok)
+            }
+
+            is DrainMessage.Ended -> {
+                if (!message.ok) core?.notEnded(message.drain)
+            }
+        }
+    }
+
+    private fun take(entries: List<Entry>) {
+        val pages = entries.filter { it.key.startsWith(DrainRecords.MACHINES) }
+        val machines = pages.groupBy { it.key.removePrefix(DrainRecords.MACHINES).substringBeforeLast('/') }
+        val readable = machines.mapNotNull { (drain, rows) -> readMachines(rows)?.let { drain to it } }.toMap()
+        if (core == null) begin(entries, readable)
+        val drains = entries.filter { it.key.startsWith(DrainRecords.DRAINS) }.mapNotNull { readDrain(it, readable) }
+        val known = core ?: return
+        val news = drains.filter { drain -> known.drains.none { it.name == drain.name } }
+        // Pages of a drain that is new here were written by the command: from now on they are this leader's.
+        for (drain in news) {
+            val own = machines[drain.name].orEmpty()
+            access.owned.read(own)
+            recorded = recorded + own.associate { it.key to it.value }
+        }
+        known.asked(drains, news.flatMap { readable.getValue(it.name) })
+    }
+
+    private fun begin(
+        entries: List<Entry>,
+        machines: Map<String, List<DrainedMachine>>,
+    ) {
+        val pages = entries.filter { it.key.startsWith(DrainRecords.INTERRUPTIONS) }
+        // Without them nobody knows what is interrupted, so nothing more is.
+        val interruptions = pages.map { page -> readable(page) { records.decodeInterruptions(it) } ?: return }
+        access.owned.read(pages)
+        recorded = pages.associate { it.key to it.value }
+        val state =
+            DrainState().let { empty ->
+                empty.copy(interruptions = empty.interruptions.putAll(interruptions.flatten().associateBy { it.task }))
+            }
+        core = DrainCore(policy, view, state, records.mostInterruptions)
+        if (machines.isNotEmpty()) log.info("drains are recorded: {}", machines.keys)
+    }
+
+    private fun readMachines(pages: List<Entry>): List<DrainedMachine>? =
+        pages.map { page -> readable(page) { records.decodeMachines(it) } ?: return null }.flatten()
+
+    private fun readDrain(
+        entry: Entry,
+        machines: Map<String, List<DrainedMachine>>,
+    ): Drain? {
+        val name = entry.key.removePrefix(DrainRecords.DRAINS)
+        stamps[entry.key] = entry.stamp
+        val names = machines[name]?.map { it.name } ?: return null
+        return readable(entry) { records.decodeDrain(it, names) }
+    }
+
+    private fun <T : Any> readable(
+        entry: Entry,
+        read: (Entry) -> T,
+    ): T? =
+        try {
+            read(entry)
+        } catch (e: UnreadableRecord) {
+            if (complained.add(entry.key)) log.error("a record of a drain can't be read, the drain goes no further: {}", e.message)
+            null
+        }
+
+    private companion object {
+        const val READ_US = 2 * SECOND
+        const val STEP_US = SECOND
+        const val RETRY_MS = 300L
+        val NOT_READ = ArrayList<Entry>()
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/lichenstage/drain/DrainOperations.kt
@@ -0,0 +1,231 @@
+package lichenstage.drain
+
+import lichenstage.app.Settings
+import lichenstage.jobs.JobRecord
+import lichenstage.placement.Registered
+import lichenstage.placement.Registry
+import lichenstage.state.Change
+import lichenstage.state.Committed
+import lichenstage.state.Entry
+import lichenstage.state.Read
+import lichenstage.state.Scan
+import lichenstage.state.Store
+
+/** Which of the recorded machines are meant; a field that is null does not choose. */
+data class DrainSelection(
+    val names: Set<String> = emptySet(),
+    val typeName: String? = null,
+    val zone: String? = null,
+    val spot: Boolean? = null,
+    /** Machines named up to this one, which is the order in which they were hired. */
+    val hiredUpTo: String? = null,
+) {
+    /** The machine is meant. */
+    operator fun contains(machine: Registered) =
+        (names.isEmpty() || machine.name in names) && (typeName == null || machine.typeName == typeName) &&
+            (zone == null || machine.zone == zone) && (spot == null || machine.spot == spot) &&
+            (hiredUpTo == null || machine.name <= hiredUpTo)
+}
+
+/** A drain as it is asked for on the command line. */
+data class DrainRequest(
+    val name: String,
+    val selection: DrainSelection,
+    val replace: Boolean,
+    val atMost: Int,
+    val deadlineUs: Long?,
+    val dryRun: Boolean,
+)
+
+/** What became of a command. */
+sealed interface DrainAnswer {
+    /** Drains as they stand. */
+    data class Shown(
+        val reports: List<DrainReport>,
+    ) : DrainAnswer
+
+    /** What a drain would do. */
+    data class Planned(
+        val request: DrainRequest,
+        val machines: List<Registered>,
+    ) : DrainAnswer
+
+    /** It can't be done; nothing was written. */
+    data class Refused(
+        val why: String,
+    ) : DrainAnswer
+
+    /** The state service does not answer; the command can be repeated as it was. */
+    data object Unavailable : DrainAnswer
+}
+
+/**
+ * What operators ask for, beside the service: it only reads and writes records, on the condition that they are as they were read, so it
+ * makes no difference which controllers are up.
+ */
+class DrainOperations(
+    private val store: Store,
+    private val scan: suspend (String) -> Scan?,
+    private val records: DrainRecords,
+    private val settings: Settings,
+    private val timeOfDayUs: () -> Long,
+) {
+    /** Asks for a drain, or shows what it would do. Repeated as it was, it finds itself done. */
+    suspend fun start(request: DrainRequest): DrainAnswer =
+        answering {
+            if (!NAME.matches(request.name)) throw CantBeDone("${request.name}: a name of letters, digits and dashes is needed")
+            if (request.atMost < 1) throw CantBeDone("--at-most ${request.atMost}: at least 1 is needed")
+            when (val known = store.get(DrainRecords.DRAINS + request.name)) {
+                is Read.Found -> repeated(request, known.entry)
+                Read.Missing -> begun(request)
+                Read.Unavailable -> throw NoAnswer()
+            }
+        }
+
+    private suspend fun begun(request: DrainRequest): DrainAnswer {
+        val machines = read(Registry.PREFIX).flatMap { Registry.decode(it.value) }
+        val boundZones = read(JobRecord.OPEN).mapNotNullTo(HashSet()) { JobRecord.decode(it.value).zone }
+        refusal(request, machines, boundZones)?.let { throw CantBeDone(it) }
+        val selected = machines.filter { it in request.selection }.sortedBy { it.name }
+        return if (request.dryRun) DrainAnswer.Planned(request, selected) else write(request, selected)
+    }
+
+    private suspend fun repeated(
+        request: DrainRequest,
+        entry: Entry,
+    ): DrainAnswer {
+        val asked = records.decodeDrain(entry, emptyList())
+        if (asked.replace != request.replace || asked.atMost != request.atMost) {
+            throw CantBeDone("${request.name}: there is a drain of this name with other options")
+        }
+        return shown(request.name)
+    }
+
+    /** The command is at fault. */
+    private class CantBeDone(
+        why: String,
+    ) : Exception(why)
+
+    /** The state service does not answer, or has changed meanwhile. */
+    private class NoAnswer : Exception()
+
+    private suspend fun answering(work: suspend () -> DrainAnswer): DrainAnswer =
+        try {
+            work()
+        } catch (e: CantBeDone) {
+            DrainAnswer.Refused("${e.message}")
+        } catch (e: UnreadableRecord) {
+            DrainAnswer.Refused("${e.message}")
+        } catch (_: NoAnswer) {
+            DrainAnswer.Unavailable
+        }
+
+    private suspend fun read(prefix: String): List<Entry> = scan(prefix)?.entries ?: throw NoAnswer()
+
+    private suspend fun commit(
+        guards: Map<String, Long>,
+        changes: List<Change>,
+    ) {
+        if (store.txn(guards, changes) !is Committed.Yes) throw NoAnswer()
+    }
+
+    private fun refusal(
+        request: DrainRequest,
+        machines: List<Registered>,
+        boundZones: Set<String>,
+    ): String? {
+        val selection = request.selection
+        val unknown = selection.names.firstOrNull { name -> machines.none { it.name == name } }
+        val typeName = selection.typeName
+        val zones = machines.filter { it in selection }.map { it.zone }.distinct()
+        val emptied = zones.firstOrNull { zone -> zone in boundZones && machines.none { it.zone == zone && it !in selection } }
+        return when {
+            unknown != null -> "--machine $unknown: no such machine is recorded"
+            selection.zone != null && selection.zone !in settings.zones -> "--zone ${selection.zone}: no zone of this deployment"
+            typeName != null && machines.none { it.typeName == typeName } -> "--type $typeName: no machine of this type is recorded"
+            zones.isEmpty() -> "no recorded machine is selected"
+            emptied == null || request.replace -> null
+            else -> "--zone $emptied: jobs are bound to it, and no machine would be left: --replace is needed"
+        }
+    }
+
+    /** The machines first: the drain is there once its own record is. */
+    private suspend fun write(
+        request: DrainRequest,
+        machines: List<Registered>,
+    ): DrainAnswer {
+        val now = timeOfDayUs()
+        val rows = machines.map { DrainedMachine(it.name, request.name, Stage.WAITING, now) }
+        val pages = records.encodeMachines(request.name, rows)
+        val stamps = read("${DrainRecords.MACHINES}${request.name}/").associate { it.key to it.stamp }
+        val changes = pages.map { Change.Put(it.key, it.value) } + (stamps.keys - pages.keys).map { Change.Delete(it) }
+        val drainKey = DrainRecords.DRAINS + request.name
+        for (part in changes.chunked(settings.txnOps)) {
+            val guards = part.associate { keyOf(it) to (stamps[keyOf(it)] ?: 0L) } + (drainKey to 0L)
+            commit(guards, part)
+        }
+        val drain =
+            Drain(
+                request.name,
+                machines.map { it.name },
+                request.replace,
+                request.atMost,
+                DrainStatus.RUNNING,
+                null,
+                now,
+                request.deadlineUs,
+            )
+        commit(mapOf(drainKey to 0L), listOf(Change.Put(drainKey, records.encode(drain))))
+        return shown(request.name)
+    }
+
+    private fun keyOf(change: Change) =
+        when (change) {
+            is Change.Put -> change.key
+            is Change.Delete -> change.key
+        }
+
+    /** All drains, or the one of a [name]. */
+    suspend fun show(name: String?): DrainAnswer = answering { shown(name) }
+
+    private suspend fun shown(name: String?): DrainAnswer {
+        val all = read(DrainRecords.PREFIX)
+        val entries = all.filter { it.key.startsWith(DrainRecords.DRAINS) && (name == null || it.key == DrainRecords.DRAINS + name) }
+        if (entries.isEmpty() && name != null) throw CantBeDone("$name: there is no such drain")
+        val pages = all.filter { it.key.startsWith(DrainRecords.MACHINES) }
+        val state = records.decodeState(pages, all.filter { it.key.startsWith(DrainRecords.INTERRUPTIONS) })
+        return DrainAnswer.Shown(entries.map { DrainReport.of(records.decodeDrain(it, emptyList()), state, timeOfDayUs()) })
+    }
+
+    /** Has a drain pause, go on or end. */
+    suspend fun change(
+        name: String,
+        status: DrainStatus,
+    ): DrainAnswer =
+        answering {
+            when (val read = store.get(DrainRecords.DRAINS + name)) {
+                is Read.Found -> changed(read.entry, status)
+                Read.Missing -> throw CantBeDone("$name: there is no such drain")
+                Read.Unavailable -> throw NoAnswer()
+            }
+        }
+
+    private suspend fun changed(
+        entry: Entry,
+        status: DrainStatus,
+    ): DrainAnswer {
+        val drain = records.decodeDrain(entry, emptyList())
+        val isOver = drain.status == DrainStatus.FINISHED || drain.status == DrainStatus.CANCELLED
+        if (isOver && drain.status != status) throw CantBeDone("${drain.name}: it is ${drain.status.name.lowercase()}")
+        if (drain.status != status) {
+            val reason = if (status == DrainStatus.RUNNING) null else "by an operator"
+            val put = Change.Put(entry.key, records.encode(drain.copy(status = status, reason = reason)))
+            commit(mapOf(entry.key to entry.stamp), listOf(put))
+        }
+        return shown(drain.name)
+    }
+
+    private companion object {
+        val NAME = Regex("[A-Za-z0-9-]{1,60}")
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/lichenstage/drain/DrainPlan.kt
@@ -0,0 +1,252 @@
+package lichenstage.drain
+
+import lichenstage.app.SECOND
+
+/** What a plan proposes: a state to be recorded, and what may be done once it is. */
+data class DrainProposal(
+    val state: DrainState,
+    val acts: List<DrainAct>,
+)
+
+/**
+ * Decides what drains do next, on a copy of their state.
+ *
+ * A machine goes from stage to stage; the next one to begin with is the idle one, then the one whose tasks end soonest, then the one on
+ * which least progress would be lost. Tasks are interrupted only where the budget of their team allows it beside all that is
+ * interrupted already; tasks near their end are waited for. No deadline changes that.
+ */
+class DrainPlan(
+    private val policy: DrainPolicy,
+    private val view: DrainView,
+    private val hour: Int,
+    private val nowUs: Long,
+    /** As many interruptions as drains may add to, so that their records have room for what fails besides. */
+    private val mostInterruptions: Int,
+    private var state: DrainState,
+) {
+    private val acts = ArrayList<DrainAct>()
+    private val interrupted = ArrayList<RunningTask>()
+
+    /** The next steps of these drains, the one that was asked for first before the others. */
+    fun next(drains: List<Drain>): DrainProposal {
+        forgetInterruptions()
+        val running = drains.filter { it.status == DrainStatus.RUNNING }.sortedBy { it.askedUs }
+        running.forEach(::advance)
+        running.forEach { begin(it, begunBy(running)) }
+        interrupt(running)
+        running.filter(::isOver).forEach { acts += DrainAct.Finish(it.name) }
+        return DrainProposal(state, acts + listOfNotNull(DrainAct.Interrupt(interrupted).takeIf { interrupted.isNotEmpty() }))
+    }
+
+    /** A task that runs as another attempt, or that is over, is no longer interrupted. */
+    private fun forgetInterruptions() {
+        val over =
+            state.interruptions.values.filter { interruption ->
+                when (val standing = view.standing(interruption.task)) {
+                    TaskStanding.Over -> true
+                    is TaskStanding.Running -> standing.attempt != interruption.attempt
+                    TaskStanding.Waiting -> false
+                }
+            }
+        state = state.copy(interruptions = over.fold(state.interruptions) { left, gone -> left.remove(gone.task) })
+    }
+
+    private fun machinesOf(drain: Drain) = state.machines.values.filter { it.drain == drain.name }
+
+    private fun isOver(drain: Drain) = machinesOf(drain).all { it.stage.isOver }
+
+    private fun set(machine: DrainedMachine) {
+        state = state.copy(machines = state.machines.put(machine.key, machine))
+    }
+
+    private fun move(
+        machine: DrainedMachine,
+        stage: Stage,
+    ) = set(machine.copy(stage = stage, sinceUs = nowUs))
+
+    private fun advance(drain: Drain) {
+        for (machine in machinesOf(drain)) {
+            if (machine.stage.isOver) continue
+            when (view.condition(machine.name)) {
+                MachineCondition.GONE, MachineCondition.ABSENT -> move(machine, goneStage(machine))
+                MachineCondition.LOST -> if (machine.stage != Stage.EMPTIED) move(machine, Stage.FAILED)
+                MachineCondition.UP, MachineCondition.UNHEARD -> advance(drain, machine)
+            }
+        }
+    }
+
+    private fun goneStage(machine: DrainedMachine) =
+        when {
+            machine.stage == Stage.WAITING -> Stage.GONE
+            machine.stage != Stage.EMPTIED -> Stage.FAILED
+            machine.replacement != null -> Stage.REPLACED
+            else -> Stage.GONE
+        }
+
+    private fun advance(
+        drain: Drain,
+        machine: DrainedMachine,
+    ) {
+        when (machine.stage) {
+            Stage.PREPARING -> {
+                prepare(drain, machine)
+            }
+
+            Stage.CORDONED, Stage.EMPTYING -> {
+                if (isHeeded(machine) && view.tasksOn(machine.name).isEmpty()) {
+                    move(machine, Stage.EMPTIED)
+                    acts += DrainAct.GiveBack(machine.name)
+                }
+            }
+
+            // Where the return was not answered, it is asked for again.
+            Stage.EMPTIED -> {
+                acts += DrainAct.GiveBack(machine.name)
+            }
+
+            else -> {
+                Unit
+            }
+        }
+    }
+
+    /** All who place tasks know that the machine takes no more: what is stopped there does not come back, and empty it stays. */
+    private fun isHeeded(machine: DrainedMachine) = nowUs - machine.sinceUs >= HEEDED_US
+
+    /** A replacement that does not come up, is faulty or gets lost is given back, and another one asked for after a growing pause. */
+    private fun prepare(
+        drain: Drain,
+        machine: DrainedMachine,
+    ) {
+        val waitedUs = nowUs - machine.sinceUs
+        val replacement = machine.replacement
+        when {
+            replacement == null -> {
+                if (waitedUs >= pauseUs(machine.failures)) acts += DrainAct.HireLike(machine.key)
+            }
+
+            hasFailed(replacement, waitedUs) -> {
+                acts += DrainAct.GiveBack(replacement)
+                set(machine.copy(replacement = null, failures = machine.failures + 1, sinceUs = nowUs))
+                if (machine.failures + 1 >= policy.replacementFailures) {
+                    acts +=
+                        DrainAct.Pause(
+                            drain.name,
+                            "${machine.failures + 1} replacements of ${machine.name} failed, the last was $replacement",
+                        )
+                }
+            }
+
+            hasProven(replacement, waitedUs) -> {
+                move(machine, Stage.CORDONED)
+            }
+        }
+    }
+
+    private fun hasFailed(
+        replacement: String,
+        waitedUs: Long,
+    ): Boolean {
+        val condition = view.condition(replacement)
+        return condition == MachineCondition.LOST || condition == MachineCondition.GONE || view.isFaulty(replacement) ||
+            (condition != MachineCondition.UP && waitedUs > LONGEST_BOOT_US)
+    }
+
+    /** It has completed a start; where there has been nothing to start for long, it is taken for good. */
+    private fun hasProven(
+        replacement: String,
+        waitedUs: Long,
+    ): Boolean =
+        view.condition(replacement) == MachineCondition.UP &&
+            (view.tasksOn(replacement).any { it.running } || (waitedUs > IDLE_TRIAL_US && view.tasksOn(replacement).isEmpty()))
+
+    private fun pauseUs(failures: Int) = if (failures == 0) 0 else (FIRST_PAUSE_US shl minOf(failures - 1, MOST_DOUBLINGS))
+
+    /** What another drain is emptying is left to it. */
+    private fun begunBy(drains: List<Drain>): Set<String> {
+        val names = drains.mapTo(HashSet()) { it.name }
+        return state.machines.values
+            .filter { it.drain in names && it.stage != Stage.WAITING && !it.stage.isOver }
+            .mapTo(HashSet()) { it.name }
+    }
+
+    /** Takes up as many more machines as may be on their way out at once. */
+    private fun begin(
+        drain: Drain,
+        begun: Set<String>,
+    ) {
+        val all = machinesOf(drain)
+        val free = drain.atMost - all.count { it.stage != Stage.WAITING && !it.stage.isOver }
+        if (free <= 0) return
+        val waiting = all.filter { it.stage == Stage.WAITING && it.name !in begun && view.condition(it.name) == MachineCondition.UP }
+        waiting.sortedWith(order()).take(free).forEach { machine ->
+            if (drain.replace) {
+                move(machine, Stage.PREPARING)
+                acts += DrainAct.HireLike(machine.key)
+            } else {
+                move(machine, Stage.CORDONED)
+            }
+        }
+    }
+
+    private fun order(): Comparator<DrainedMachine> {
+        val tasks = HashMap<String, List<RunningTask>>()
+
+        fun on(machine: DrainedMachine) = tasks.getOrPut(machine.name) { view.tasksOn(machine.name) }
+        return compareBy<DrainedMachine> { on(it).isNotEmpty() }
+            .thenBy { machine -> on(machine).maxOfOrNull { it.remainingUs / NEAR_END_US } ?: 0 }
+            .thenBy { machine -> on(machine).sumOf { it.lostUs } }
+            .thenBy { it.name }
+    }
+
+    /** Stops what the budgets of all teams allow on cordoned machines, the machine that was cordoned first before the others. */
+    private fun interrupt(drains: List<Drain>) {
+        val names = drains.mapTo(HashSet()) { it.name }
+        val cordoned =
+            state.machines.values
+                .filter { it.drain in names && (it.stage == Stage.CORDONED || it.stage == Stage.EMPTYING) && isHeeded(it) }
+                .sortedWith(compareBy({ it.sinceUs }, { it.name }))
+        if (cordoned.isEmpty()) return
+        val check = BudgetCheck(policy, runningTasks(), hour, state.interruptions.values)
+        cordoned.forEach { interrupt(it, check) }
+    }
+
+    /** Those left out of which the stop is announced, and may be on its way. */
+    private fun runningTasks(): Map<String, Int> {
+        val running = HashMap(view.runningByTeam())
+        for (interruption in state.interruptions.values) {
+            if (view.standing(interruption.task) is TaskStanding.Running) running.merge(interruption.team, -1, Int::plus)
+        }
+        return running
+    }
+
+    private fun interrupt(
+        machine: DrainedMachine,
+        check: BudgetCheck,
+    ) {
+        // What a leader before has announced may not have been stopped: it is counted, and stopped again.
+        val tasks = view.tasksOn(machine.name).filter { it.running }
+        interrupted += tasks.filter { state.interruptions[it.task]?.attempt == it.attempt }
+        // Least progress lost first: tasks that have saved.
+        for (task in tasks.filter { it.task !in state.interruptions && it.remainingUs > NEAR_END_US }.sortedBy { it.lostUs }) {
+            if (state.interruptions.size >= mostInterruptions || !check.take(task)) continue
+            val row = Interruption(task.task, task.attempt, task.team, InterruptionCause.DRAIN, nowUs)
+            state = state.copy(interruptions = state.interruptions.put(task.task, row))
+            interrupted += task
+            if (machine.stage == Stage.CORDONED) set(state.machines.getValue(machine.key).copy(stage = Stage.EMPTYING))
+        }
+    }
+
+    companion object {
+        /** A task that is expected to end within this time is waited for. */
+        const val NEAR_END_US = 20 * SECOND
+
+        private const val HEEDED_US = 2 * SECOND
+        private const val LONGEST_BOOT_US = 300 * SECOND
+
+        /** A replacement that nothing was started on for so long is taken for good. */
+        private const val IDLE_TRIAL_US = 90 * SECOND
+        private const val FIRST_PAUSE_US = 30 * SECOND
+        private const val MOST_DOUBLINGS = 4
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/lichenstage/drain/DrainReport.kt
@@ -0,0 +1,123 @@
+package lichenstage.drain
+
+import io.vertx.core.json.JsonArray
+import io.vertx.core.json.JsonObject
+import lichenstage.app.SECOND
+import java.time.Instant
+import java.util.concurrent.TimeUnit
+
+/** How a drain stands, for people and programs. */
+data class DrainReport(
+    val drain: Drain,
+    val stages: Map<Stage, Int>,
+    val underWay: List<DrainedMachine>,
+    /** Jobs and tasks of each team that are interrupted now, by this or any other cause. */
+    val interrupted: Map<String, List<Interruption>>,
+    /** Its deadline has passed, or will have at the pace so far. */
+    val isLate: Boolean,
+) {
+    /** For programs. */
+    fun json(): JsonObject =
+        JsonObject()
+            .put("name", drain.name)
+            .put("status", drain.status.name.lowercase())
+            .put("reason", drain.reason)
+            .put("replace", drain.replace)
+            .put("at_most", drain.atMost)
+            .put("late", isLate)
+            .put("stages", JsonObject(stages.entries.associate { it.key.name.lowercase() to it.value }))
+            .put("under_way", JsonArray(underWay.map(::json)))
+            .put("interrupted", JsonObject(interrupted.mapValues { (_, rows) -> json(rows) }))
+
+    private fun json(machine: DrainedMachine) =
+        JsonObject()
+            .put("machine", machine.name)
+            .put("stage", machine.stage.name.lowercase())
+            .put("since", time(machine.sinceUs))
+            .put("replacement", machine.replacement)
+            .put("failed_replacements", machine.failures)
+
+    private fun json(rows: List<Interruption>) =
+        JsonObject()
+            .put("jobs", JsonArray(rows.map { it.task.job }.distinct().sorted()))
+            .put("tasks", rows.size)
+            .put("by_drains", rows.count { it.cause == InterruptionCause.DRAIN })
+
+    /** For people. */
+    fun text(): String {
+        val lines = ArrayList<String>()
+        val why = drain.reason?.let { " ($it)" }.orEmpty()
+        lines +=
+            "${drain.name}: ${drain.status.name.lowercase()}$why, at most ${drain.atMost} at once${if (drain.replace) ", replaced" else ""}"
+        drain.deadlineUs?.let { lines += "  deadline ${time(it)}${if (isLate) ": it can't be kept" else ""}" }
+        lines += "  " + stages.entries.joinToString { "${it.value} ${it.key.name.lowercase()}" }
+        for (machine in underWay) {
+            val follower = machine.replacement?.let { ", followed by $it" }.orEmpty()
+            val failures = if (machine.failures > 0) ", ${machine.failures} replacements failed" else ""
+            lines += "  ${machine.name} ${machine.stage.name.lowercase()} since ${time(machine.sinceUs)}$follower$failures"
+        }
+        for ((team, rows) in interrupted) {
+            val jobs = rows.map { it.task.job }.distinct()
+            lines += "  $team: ${jobs.size} jobs interrupted (${jobs.sorted().joinToString(" ")}), ${rows.size} tasks"
+        }
+        return lines.joinToString("\n")
+    }
+
+    companion object {
+        /** The drain as its records stand at the time of day [nowUs]. */
+        fun of(
+            drain: Drain,
+            state: DrainState,
+            nowUs: Long,
+        ): DrainReport {
+            val machines =
+                state.machines.values
+                    .filter { it.drain == drain.name }
+                    .sortedBy { it.name }
+            return DrainReport(
+                drain.copy(machines = machines.map { it.name }),
+                machines.groupingBy { it.stage }.eachCount().toSortedMap(),
+                machines.filter { it.stage != Stage.WAITING && !it.stage.isOver },
+                state.interruptions.values
+                    .groupBy { it.team }
+                    .toSortedMap(),
+                isLate(drain, machines, nowUs),
+            )
+        }
+
+        private fun isLate(
+            drain: Drain,
+            machines: List<DrainedMachine>,
+            nowUs: Long,
+        ): Boolean {
+            val deadlineUs = drain.deadlineUs ?: return false
+            val over = machines.count { it.stage.isOver }
+            val left = machines.size - over
+            if (left == 0) return false
+            val perMachineUs = (nowUs - drain.askedUs) / maxOf(over, 1)
+            return nowUs + (if (over == 0) 0 else perMachineUs * left) > deadlineUs
+        }
+
+        private fun time(us: Long): String = Instant.ofEpochSecond(us / SECOND).toString()
+
+        /** The steps of a drain that is only planned: the leader takes idle machines first. */
+        fun planned(answer: DrainAnswer.Planned): String {
+            val steps = answer.machines.chunked(answer.request.atMost)
+            val lines =
+                steps.mapIndexed {
+                    i,
+                    step,
+                    ->
+                    "step ${i + 1}: ${step.joinToString(" ") { "${it.name} (${it.typeName}, ${it.zone})" }}"
+                }
+            return (
+                listOf(
+                    "${answer.request.name} would drain ${answer.machines.size} machines; idle ones go first",
+                ) + lines
+            ).joinToString("\n")
+        }
+
+        /** A duration on the command line, as microseconds. */
+        fun seconds(text: Long) = TimeUnit.SECONDS.toMicros(text)
+    }
+}
--- a/src/main/kotlin/lichenstage/fleet/FleetCore.kt
+++ b/src/main/kotlin/lichenstage/fleet/FleetCore.kt
@@ -42,6 +42,13 @@
     /** The most machines of a type that were in use at once in this term. */
     private val mostUsed = HashMap<String, Double>()
     private var listedOnce = false
+    private val requests = LinkedHashMap<String, RequestedHire>()
+
+    /** The request that a hire is for, by the hire's name. */
+    private val requestOf = HashMap<String, String>()
+
+    /** Machines that the demand is not met with: on their way out, or spare until another is. */
+    var uncounted: Set<String> = emptySet()
     private var returnedUs = Long.MIN_VALUE / 2
     private var swappedUs = Long.MIN_VALUE / 2
     var machineTypes = emptyMap<String, MachineType>()
@@ -109,7 +116,7 @@
      * the roomiest machine gets the next task, so that none would run empty by itself.
      */
     private fun shed(now: Long) {
-        for ((typeName, group) in machines.values.filter { !it.giveBack }.groupBy { it.typeName }) {
+        for ((typeName, group) in counted().groupBy { it.typeName }) {
             val surplus = group.size - maxOf(need(typeName, now), neededWhileLearning(typeName, now))
             if (surplus <= 0) {
                 surplusSinceUs.remove(typeName)
@@ -127,6 +134,30 @@
         }
     }
 
+    private fun counted(): Collection<Rented> =
+        if (uncounted.isEmpty()) {
+            machines.values.filter { !it.giveBack }
+        } else {
+            machines.filter { (name, machine) -> !machine.giveBack && name !in uncounted }.values
+        }
+
+    /** A machine is wanted whatever the demand; it is asked for until it is there. */
+    fun request(hire: RequestedHire) {
+        requests[hire.id] = hire
+    }
+
+    /** What a hire was requested for, or null. */
+    fun requestOf(hire: Hire): String? = requestOf[hire.name]
+
+    private fun requested(now: Long): Hire? {
+        val request =
+            requests.values.firstOrNull { (refusedUntilUs[place(it.typeName, it.zone, it.spot)] ?: Long.MIN_VALUE) <= now } ?: return null
+        val hire = Hire("h$term-${++hires}", request.typeName, request.zone, request.spot, 1)
+        requestOf[hire.name] = request.id
+        unclear = hire
+        return hire
+    }
+
     /**
      * A leader that has just begun does not know what came before it, so that its forecast is too low for a while. Until then what was
      * in use at some time since is kept, with room to spare. Keeping all that there was cost a tenth of the money of a day on which
@@ -201,13 +232,14 @@
             listedUs = now
             return CloudCall.ListAll
         }
+        requested(now)?.let { return CloudCall.Rent(it) }
         // A leader that has just begun does not know what the one before it rented.
         return if (listedOnce) rent(now)?.let { CloudCall.Rent(it) } else null
     }
 
     private fun rent(now: Long): Hire? {
         for (machineType in machineTypes.values) {
-            val have = machines.values.filter { it.typeName == machineType.name && !it.giveBack }
+            val have = counted().filter { it.typeName == machineType.name }
             val short = need(machineType.name, now) - have.size
             val hire = if (short <= 0) swap(machineType, have, now) else hire(machineType, have, short, now)
             if (hire != null) return hire
@@ -276,6 +308,7 @@
                 unclear = null
                 outcome.names.forEach { known(it, hire.typeName, hire.zone, hire.spot, 0, now) }
                 if (outcome.names.size < hire.count) refuse(place, now) else refusals.remove(place)
+                if (outcome.names.isNotEmpty()) requestOf[hire.name]?.let(requests::remove)
                 return outcome.names
             }
 
--- a/src/main/kotlin/lichenstage/fleet/FleetTypes.kt
+++ b/src/main/kotlin/lichenstage/fleet/FleetTypes.kt
@@ -27,6 +27,14 @@
     val faulty: Boolean,
 )
 
+/** A machine that is asked for by name of its type, zone and kind, beside what demand asks for. [id] is the asker's. */
+data class RequestedHire(
+    val id: String,
+    val typeName: String,
+    val zone: String,
+    val spot: Boolean,
+)
+
 /** The next thing to ask of the cloud. */
 sealed interface CloudCall {
     /** Rent machines. */
--- a/src/main/kotlin/lichenstage/placement/CheckpointStops.kt
+++ b/src/main/kotlin/lichenstage/placement/CheckpointStops.kt
@@ -20,8 +20,14 @@
     private val takenByUs = HashMap<String, Long>()
     private val sentUs = HashMap<Long, Long>()
 
-    /** Machines that have a notice. */
-    val noticed: Set<String> get() = takenByUs.keys
+    /** Attempts that are to be stopped whether or not they can save, by number. */
+    private val requested = LinkedHashMap<Long, Attempt>()
+
+    /** Machines that have a notice, or on which something is to be stopped. */
+    val concerned: Set<String> get() = if (requested.isEmpty()) takenByUs.keys else takenByUs.keys + requested.values.map { it.machine }
+
+    /** These are to be stopped, with time to save where they can. */
+    fun request(attempts: Collection<Attempt>) = attempts.forEach { requested[it.number] = it }
 
     /** A machine as its partition shows it at [now]. The notice may be older than the frame, never younger. */
     fun seen(
@@ -37,15 +43,25 @@
         takenByUs.remove(machine)
     }
 
-    /** What is to be ordered now for a machine that goes away, with the [attempts] that may be running there. */
+    /**
+     * What is to be ordered now for a machine that goes away, with the [attempts] that may be running there. Where it [isDrained] by an
+     * operator, only what was requested is stopped, since that is within the budget of its team.
+     */
     fun orders(
         machine: String,
         attempts: Collection<Attempt>,
+        isDrained: Boolean,
         now: Long,
     ): List<SaveOrder> {
         val takenByUs = takenByUs[machine]
-        val stopped = if (takenByUs != null) beforeNotice(attempts, takenByUs - now, now) else whileDraining(attempts, now)
-        return stopped.filter { due(it, now) }.map { SaveOrder(machine, it.task, it.number, leewayUs(it)) }
+        val stopped =
+            when {
+                takenByUs != null -> beforeNotice(attempts, takenByUs - now, now)
+                isDrained -> emptyList()
+                else -> whileDraining(attempts, now)
+            }
+        val asked = attempts.filter { it.number in requested && it.phase == TaskPhase.RUNNING }
+        return (stopped + asked).distinct().filter { due(it, now) }.map { SaveOrder(machine, it.task, it.number, leewayUs(it)) }
     }
 
     private fun beforeNotice(
@@ -82,7 +98,7 @@
         return maxOf(runTimes.expectedUs(attempt.job.spec) - progressUs, progressUs / OVERRUN_SHARE)
     }
 
-    private fun leewayUs(attempt: Attempt) = attempt.job.spec.saveUs + LEAST_MARGIN_US
+    private fun leewayUs(attempt: Attempt) = if (attempt.job.spec.checkpointUs > 0) attempt.job.spec.saveUs + LEAST_MARGIN_US else 0
 
     /** Frames get lost, so an order is repeated while the task is still seen running. */
     private fun due(
@@ -92,15 +108,22 @@
         val last = sentUs[attempt.number]
         if (last != null && now - last < REPEAT_US) return false
         sentUs[attempt.number] = now
-        if (attempt.saveOrderedUs == 0L) attempt.saveOrderedUs = now
+        if (attempt.saveOrderedUs == 0L && attempt.job.spec.checkpointUs > 0) attempt.saveOrderedUs = now
         return true
     }
 
     /** The attempt is over. */
     fun ended(attempt: Attempt) {
         sentUs.remove(attempt.number)
+        requested.remove(attempt.number)
     }
 
+    /** How long the attempt is expected to go on. */
+    fun expectedUs(
+        attempt: Attempt,
+        now: Long,
+    ) = remainingUs(attempt, now)
+
     private companion object {
         /** Beside the time to save: the least with which saving is expected to succeed. */
         const val LEAST_MARGIN_US = SECOND
--- a/src/main/kotlin/lichenstage/placement/FleetDriver.kt
+++ b/src/main/kotlin/lichenstage/placement/FleetDriver.kt
@@ -4,6 +4,8 @@
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import lichenstage.app.Settings
+import lichenstage.drain.DrainDriver
+import lichenstage.drain.DrainKey
 import lichenstage.fleet.Catalog
 import lichenstage.fleet.CloudCall
 import lichenstage.fleet.CloudClient
@@ -13,6 +15,7 @@
 import lichenstage.fleet.FleetPolicy
 import lichenstage.fleet.ListedMachine
 import lichenstage.fleet.MachineStatus
+import lichenstage.fleet.RequestedHire
 import lichenstage.jobs.JobSpec
 import org.slf4j.LoggerFactory
 
@@ -26,6 +29,8 @@
     policy: FleetPolicy,
     now: Long,
     private val scope: CoroutineScope,
+    /** Null where no drains are switched on. */
+    private val drains: () -> DrainDriver?,
     private val tell: (LeaderMessage) -> Unit,
 ) {
     private val log = LoggerFactory.getLogger("lichenstage.placement")
@@ -69,14 +74,35 @@
             partition.machines.values.forEach { fleet.known(it.name, it.typeName, zone, it.spot, 0, now) }
         }
         fleet.fence(core.blockers())
+        drains()?.let { fleet.uncounted = it.uncounted }
         fleet.observe(demand(now), statusOfMachines(), now)
-        core.cordon(fleet.cordoned())
+        cordon()
         if (log.isDebugEnabled && now - describedUs >= DESCRIBE_US) {
             describedUs = now
             log.debug("{}", fleet.describe(now))
         }
     }
 
+    private fun cordon() {
+        val governed = drains()
+        if (governed == null) return core.cordon(fleet.cordoned())
+        core.cordon(fleet.cordoned() + governed.cordoned)
+        core.drained(governed.cordoned)
+        core.putOnProbation(governed.onProbation)
+    }
+
+    /** A machine like this one is wanted, for [key]. */
+    fun hireLike(key: DrainKey) {
+        val machine = core.machine(key.machine) ?: return
+        val zone = core.zoneOf(key.machine) ?: return
+        requested["${key.drain} ${key.machine}"] = key
+        fleet.request(RequestedHire("${key.drain} ${key.machine}", machine.typeName, zone, machine.spot))
+    }
+
+    fun giveBack(machine: String) = fleet.fence(listOf(machine))
+
+    private val requested = HashMap<String, DrainKey>()
+
     private fun statusOfMachines(): (String) -> MachineStatus? {
         val states =
             core.partitions.values
@@ -152,6 +178,7 @@
         calling = false
         val hire = message.hire
         val names = fleet.hired(hire, message.outcome, now)
+        names.firstOrNull()?.let { name -> requested.remove(fleet.requestOf(hire))?.let { drains()?.hired(it, name) } }
         if (names.isNotEmpty()) log.info("rented {} {} in {}: {}", names.size, hire.typeName, hire.zone, names)
     }
 
--- a/src/main/kotlin/lichenstage/placement/LeaderActor.kt
+++ b/src/main/kotlin/lichenstage/placement/LeaderActor.kt
@@ -14,6 +14,17 @@
 import lichenstage.authority.Authority
 import lichenstage.cluster.Frame
 import lichenstage.cluster.TaskCounts
+import lichenstage.drain.DrainDriver
+import lichenstage.drain.DrainHands
+import lichenstage.drain.DrainKey
+import lichenstage.drain.DrainPolicy
+import lichenstage.drain.DrainRecords
+import lichenstage.drain.DrainStore
+import lichenstage.drain.DrainTracing
+import lichenstage.drain.Interruption
+import lichenstage.drain.InterruptionCause
+import lichenstage.drain.RunningTask
+import lichenstage.drain.TaskId
 import lichenstage.fleet.Catalog
 import lichenstage.fleet.CloudClient
 import lichenstage.fleet.FleetPolicy
@@ -29,6 +40,14 @@
 import java.util.BitSet
 import kotlinx.coroutines.Job as CoroutineJob
 
+/** What operators may set of a leader. */
+data class LeaderOptions(
+    val fleet: FleetPolicy,
+    val timers: Timers,
+    /** Null where drains are not switched on. */
+    val drains: DrainPolicy?,
+)
+
 /** One term of leadership: loads the records, then places jobs and rents machines until the term is over. */
 class LeaderActor(
     private val settings: Settings,
@@ -43,8 +62,7 @@
     /** The term of the leadership, and the revision of its key. */
     val term: Long,
     stamp: Long,
-    policy: FleetPolicy,
-    timers: Timers,
+    options: LeaderOptions,
     private val send: (String, Frame) -> Unit,
 ) {
     private val log = LoggerFactory.getLogger("lichenstage.placement")
@@ -58,7 +76,7 @@
             settings.assignment,
             settings.teams,
             settings.workerLeaseUs,
-            timers,
+            options.timers,
             objectives,
             { catalog.machineTypes[it]?.capacity },
             settings.txnOps,
@@ -71,7 +89,9 @@
     private val owned = OwnedKeys(state)
     private val writer = LeaderRecordWriter(state, owned, stamp, settings.txnOps, scope, replicaSync::finished, mailbox::tell)
     private val registry = RegistryDriver(settings, core, writer)
-    private val fleet = FleetDriver(settings, core, cloud, catalog, objectives, policy, clock.now(), scope, mailbox::tell)
+    private val fleet =
+        FleetDriver(settings, core, cloud, catalog, objectives, options.fleet, clock.now(), scope, { drains }, mailbox::tell)
+    private val drains: DrainDriver? = options.drains?.let { drainDriver(it, state, stamp) }
     private val waiting = WaitingJobs(pipelines, core, maxOf(1, settings.txnOps / 2))
     private var loaded = false
     private var countedUs = Long.MIN_VALUE / 2
@@ -86,6 +106,37 @@
         }
     }
 
+    private fun drainDriver(
+        policy: DrainPolicy,
+        state: StateClient,
+        stamp: Long,
+    ): DrainDriver {
+        val view = LeaderDrainView(core, clock::now)
+        val access = DrainStore(state, owned, mapOf(Authority.LEADER to stamp), settings.txnOps, state::scan)
+        core.taskStopped = { drains?.taskStopped(interruptionOf(it)) }
+        return DrainDriver(policy, view, DrainRecords(settings.valueBytes), access, hands(view), DrainTracing(), scope) {
+            mailbox.tell(LeaderMessage.OfDrains(it))
+        }
+    }
+
+    private fun hands(view: LeaderDrainView) =
+        object : DrainHands {
+            override fun interrupt(tasks: List<RunningTask>) = core.interrupt(view.attemptsOf(tasks))
+
+            override fun hireLike(key: DrainKey) = fleet.hireLike(key)
+
+            override fun giveBack(machine: String) = fleet.giveBack(machine)
+        }
+
+    private fun interruptionOf(attempt: Attempt) =
+        Interruption(
+            TaskId(attempt.job.spec.id, attempt.index),
+            attempt.number,
+            attempt.job.spec.team,
+            InterruptionCause.FAILURE,
+            timeOfDayUs(),
+        )
+
     /** How many jobs are open, for the metrics. */
     val openJobs get() = core.jobs.size
 
@@ -107,6 +158,7 @@
             is LeaderMessage.ListAnswered -> fleet.listed(message, now)
             is LeaderMessage.PagesWritten -> registry.written(message)
             is LeaderMessage.JobMessage -> jobMessage(message, now)
+            is LeaderMessage.OfDrains -> drains?.handle(message.message)
             LeaderMessage.Tick -> Unit
         }
         // While authority pauses, nothing is decided: no start, no hire, no write.
@@ -154,6 +206,7 @@
     private fun step(now: Long) {
         core.tick(now)
         fleet.step(now)
+        drains?.step(now)
         registry.step(fleet::cordoned, now)
         waiting.toCancel().takeIf { it.isNotEmpty() }?.let(writer::cancel)
         if (now - countedUs < COUNT_US) return
--- a/src/main/kotlin/lichenstage/placement/LeaderCore.kt
+++ b/src/main/kotlin/lichenstage/placement/LeaderCore.kt
@@ -73,6 +73,9 @@
         )
     private var sweptUs = Long.MIN_VALUE / 2
     private var cores = 0.0
+
+    /** Told of each attempt that ran and does not any more although its task is not done. */
+    var taskStopped: ((Attempt) -> Unit)? = null
     private var opened = false
 
     private inner class OutboxView : OutboxSource {
@@ -88,7 +91,14 @@
     private inner class RoundView : RoundSource {
         override fun partition(id: String) = partitions[id]
 
-        override fun mayGetTasks(machine: String) = directory.mayGetTasks(machine)
+        override fun placesOn(
+            machine: String,
+            held: Int,
+        ) = when {
+            !directory.mayGetTasks(machine) -> 0
+            machine !in directory.onProbation -> held
+            else -> minOf(held, 1 - attempts.on(machine).size).coerceAtLeast(0)
+        }
 
         override fun unaccountedUse() = unaccounted.shape()
 
@@ -105,6 +115,11 @@
 
         override fun attemptGone(attempt: Attempt) {
             rounds.worthAsking()
+            if (attempt.runningUs > 0 && attempt.job.phase == JobPhase.OPEN &&
+                !attempt.job.done.get(attempt.index)
+            ) {
+                taskStopped?.invoke(attempt)
+            }
             forgetIfOver(attempt.job)
         }
 
@@ -167,6 +182,45 @@
         directory.cordoned = machines
     }
 
+    /** These machines get one task at a time. */
+    fun putOnProbation(machines: Set<String>) {
+        directory.onProbation = machines
+    }
+
+    /** These are cordoned for drains: only what those stop is stopped there. */
+    fun drained(machines: Set<String>) {
+        directory.drained = machines
+    }
+
+    /** These attempts are to be stopped, with time to save where they can. */
+    fun interrupt(interrupted: Collection<Attempt>) = checkpointStops.request(interrupted)
+
+    /** How long an attempt is expected to go on. */
+    fun expectedUs(
+        attempt: Attempt,
+        now: Long,
+    ) = checkpointStops.expectedUs(attempt, now)
+
+    /** The machine is proven gone. */
+    fun isRetired(machine: String) = directory.isRetired(machine)
+
+    /** What is known of a machine, or null. */
+    fun machine(name: String): MachineState? {
+        directory.partition(name)?.let { return partitions[it]?.machines?.get(name) }
+        return partitions.values.firstNotNullOfOrNull { it.machines[name] }
+    }
+
+    /** The zone of a recorded machine, or null. */
+    fun zoneOf(machine: String): String? = directory.partition(machine)?.let(assignment::zone)
+
+    /** How many tasks of each team run. */
+    fun runningByTeam(): Map<String, Int> =
+        attempts
+            .all()
+            .filter { it.phase == TaskPhase.RUNNING }
+            .groupingBy { it.job.spec.team }
+            .eachCount()
+
     /** A job has been accepted, or was found in its record. */
     fun jobAdded(job: Job) {
         if (jobs.containsKey(job.spec.id)) return
@@ -327,9 +381,9 @@
     /** Tasks on machines that go away save their progress. */
     private fun orderSaves(now: Long) {
         val saves = HashMap<String, List<SaveOrder>>()
-        for (machine in directory.cordoned + checkpointStops.noticed) {
+        for (machine in directory.cordoned + checkpointStops.concerned) {
             val partition = directory.partition(machine) ?: continue
-            val orders = checkpointStops.orders(machine, attempts.on(machine), now)
+            val orders = checkpointStops.orders(machine, attempts.on(machine), machine in directory.drained, now)
             if (orders.isNotEmpty()) saves.merge(partition, orders) { before, more -> before + more }
         }
         outbox.setSaves(saves)
--- /dev/null
+++ b/src/main/kotlin/lichenstage/placement/LeaderDrainView.kt
@@ -0,0 +1,75 @@
+package lichenstage.placement
+
+import lichenstage.cluster.TaskPhase
+import lichenstage.drain.DrainView
+import lichenstage.drain.MachineCondition
+import lichenstage.drain.RunningTask
+import lichenstage.drain.TaskId
+import lichenstage.drain.TaskStanding
+
+/** What the leader knows, as drains see it. */
+class LeaderDrainView(
+    private val core: LeaderCore,
+    private val now: () -> Long,
+) : DrainView {
+    override val complete get() = core.complete
+
+    override fun condition(machine: String): MachineCondition {
+        if (core.isRetired(machine)) return MachineCondition.GONE
+        val known = core.machine(machine)
+        return when {
+            known == null -> if (core.isRegistered(machine)) MachineCondition.UNHEARD else MachineCondition.ABSENT
+            known.lost -> MachineCondition.LOST
+            known.settled && !known.silent && core.isRegistered(machine) -> MachineCondition.UP
+            else -> MachineCondition.UNHEARD
+        }
+    }
+
+    /** Also what counts for no job of the leader's: the machine is not empty before that has been stopped. */
+    override fun tasksOn(machine: String): List<RunningTask> {
+        val attempts = core.attemptsOn(machine)
+        val counted = attempts.mapTo(HashSet()) { it.number }
+        val others =
+            core
+                .machine(machine)
+                ?.tasks
+                .orEmpty()
+                .filter { it.phase != TaskPhase.ENDED && it.attempt !in counted }
+                .map { RunningTask(TaskId(it.job, it.index), it.attempt, "", "", running = false, remainingUs = 0, lostUs = 0) }
+        return attempts.map(::seen) + others
+    }
+
+    private fun seen(attempt: Attempt): RunningTask {
+        val spec = attempt.job.spec
+        return RunningTask(
+            TaskId(spec.id, attempt.index),
+            attempt.number,
+            spec.team,
+            spec.kind,
+            running = attempt.phase == TaskPhase.RUNNING,
+            remainingUs = core.expectedUs(attempt, now()),
+            lostUs = if (spec.checkpointUs > 0) spec.saveUs else attempt.progressUs(now()),
+        )
+    }
+
+    override fun standing(task: TaskId): TaskStanding {
+        val job = core.jobs[task.job]
+        if (job == null || job.phase == JobPhase.CLOSED || job.done.get(task.index)) return TaskStanding.Over
+        val attempt = job.alive.get(task.index)
+        val runs = attempt != null && (attempt.phase == TaskPhase.RUNNING || attempt.phase == TaskPhase.SAVING)
+        return if (runs) TaskStanding.Running(attempt.number) else TaskStanding.Waiting
+    }
+
+    override fun runningByTeam() = core.runningByTeam()
+
+    override fun isFaulty(machine: String) = core.failedJobsOn(machine).isNotEmpty()
+
+    /** The attempts of these tasks that still run. */
+    fun attemptsOf(tasks: Collection<RunningTask>): List<Attempt> =
+        tasks.mapNotNull { wanted ->
+            core.jobs[wanted.task.job]
+                ?.alive
+                ?.get(wanted.task.index)
+                ?.takeIf { it.number == wanted.attempt }
+        }
+}
--- a/src/main/kotlin/lichenstage/placement/LeaderMessage.kt
+++ b/src/main/kotlin/lichenstage/placement/LeaderMessage.kt
@@ -1,6 +1,7 @@
 package lichenstage.placement
 
 import lichenstage.cluster.PartitionFrame
+import lichenstage.drain.DrainMessage
 import lichenstage.fleet.Hire
 import lichenstage.fleet.Hired
 import lichenstage.fleet.ListedMachine
@@ -84,6 +85,11 @@
         val rows: List<ListedMachine>?,
     ) : LeaderMessage
 
+    /** About drains. */
+    data class OfDrains(
+        val message: DrainMessage,
+    ) : LeaderMessage
+
     /** Time has passed. */
     data object Tick : LeaderMessage
 }
--- a/src/main/kotlin/lichenstage/placement/MachineDirectory.kt
+++ b/src/main/kotlin/lichenstage/placement/MachineDirectory.kt
@@ -12,6 +12,12 @@
     /** Machines that get no more tasks. */
     var cordoned: Set<String> = emptySet()
 
+    /** Machines that get one task at a time, until they have proven themselves. */
+    var onProbation: Set<String> = emptySet()
+
+    /** Cordoned for a drain that an operator has asked for. */
+    var drained: Set<String> = emptySet()
+
     /** How many machines are recorded. */
     val size get() = registered.size
 
--- a/src/main/kotlin/lichenstage/placement/RequestRounds.kt
+++ b/src/main/kotlin/lichenstage/placement/RequestRounds.kt
@@ -1,5 +1,6 @@
 package lichenstage.placement
 
+import lichenstage.cluster.HeldSlots
 import lichenstage.cluster.Offer
 import lichenstage.cluster.PartitionAssignment
 import lichenstage.cluster.Shape
@@ -10,7 +11,11 @@
     /** Null while nothing was heard of the partition. */
     fun partition(id: String): PartitionState?
 
-    fun mayGetTasks(machine: String): Boolean
+    /** How many of the [held] places on a machine may be used. */
+    fun placesOn(
+        machine: String,
+        held: Int,
+    ): Int
 
     /** What may be in use by nobody knows whom. */
     fun unaccountedUse(): Shape
@@ -109,7 +114,7 @@
     ): List<Attempt> {
         val job = asked.job
         val most = minOf(asked.request.count, attempts.allowance(job.spec.team, job.spec.shape, unaccountedUse))
-        val offers = current.of(asked.request.stamp).mapValues { (_, held) -> held.filter { source.mayGetTasks(it.machine) } }
+        val offers = current.of(asked.request.stamp).mapValues { (_, held) -> held.mapNotNull(::usable) }
         val placed = ArrayList<Attempt>()
         for (place in OfferSelection.roomiest(offers, most, zones::zoneOf, zones.roomIn(job, offers))) {
             val index = job.next()
@@ -125,6 +130,12 @@
         return placed
     }
 
+    private fun usable(held: HeldSlots): HeldSlots? {
+        val places = source.placesOn(held.machine, held.count)
+        if (places == held.count) return held
+        return if (places > 0) held.copy(count = places) else null
+    }
+
     /** Unique and rising over leaders, with no write: the term is the high part (invariant 7). */
     private fun newAttempt() = (term shl TERM_SHIFT) + ++attemptCounter
 
--- a/src/test/kotlin/lichenstage/app/SettingsTest.kt
+++ b/src/test/kotlin/lichenstage/app/SettingsTest.kt
@@ -85,4 +85,50 @@
             complaint { Operator.parse("fleet {\n  settle_s = \"soon\"\n}") }!!.startsWith("fleet.settle_s: a whole number"),
         ) { "settle" }
     }
+
+    @Example
+    fun `drains are off without their block, and budgets are checked`() {
+        condition(Operator.parse("fleet {\n}\n").drains == null) { "on by themselves" }
+        val policy =
+            Operator
+                .parse(
+                    """
+                    drains {
+                      replacement_failures = 2
+                      default {
+                        jobs = 3
+                      }
+                      teams {
+                        red {
+                          share_percent = 20
+                          hours = "22-6"
+                          never = ["invoice-draft"]
+                        }
+                      }
+                    }
+                    """,
+                ).drains!!
+        condition(policy.default.jobs == 3 && policy.replacementFailures == 2) { "$policy" }
+        val red = policy.of("red")
+        condition(red.share == 0.2 && red.jobs == null && red.neverClasses == setOf("invoice-draft")) { "$red" }
+        condition(23 in red.hours!! && 5 in red.hours!! && 6 !in red.hours!!) { "${red.hours}" }
+        condition(
+            Operator
+                .parse("drains {\n}\n")
+                .drains
+                ?.default
+                ?.jobs == 1,
+        ) { "the default" }
+        val wrong =
+            mapOf(
+                "drains {\n  default {\n    share_percent = 101\n  }\n}" to
+                    "drains.default.share_percent: a whole number from 0 to 100 is needed, found 101.0",
+                "drains {\n  default {\n    hours = \"late\"\n  }\n}" to
+                    "drains.default.hours: hours of the day as \"FROM-TO\" are needed, found late",
+                "drains {\n  speed = 1\n}" to "drains.speed: unknown key, found 1.0",
+            )
+        for ((file, what) in wrong) condition(complaint { Operator.parse(file) } == what) { "${complaint { Operator.parse(file) }}" }
+        val stranger = Operator.parse("drains {\n  teams {\n    blue {\n      jobs = 1\n    }\n  }\n}")
+        condition(complaint { stranger.check(Settings.parse(text)) } == "drains.teams.blue: unknown team") { "unknown team" }
+    }
 }
--- /dev/null
+++ b/src/test/kotlin/lichenstage/drain/DrainCoreTest.kt
@@ -0,0 +1,307 @@
+package lichenstage.drain
+
+import kotlinx.collections.immutable.toPersistentMap
+import lichenstage.app.SECOND
+import lichenstage.drain.FakeCluster.Companion.task
+import net.jqwik.api.Example
+import net.jqwik.api.ForAll
+import net.jqwik.api.Property
+import org.junit.platform.commons.util.Preconditions.condition
+import java.util.Random
+
+/** What drains do next, step by step. */
+class DrainCoreTest {
+    private val cluster = FakeCluster()
+    private var nowUs = 1_000 * SECOND
+
+    private fun core(
+        policy: DrainPolicy = DrainPolicy(DisruptionBudget(jobs = 1)),
+        state: DrainState = DrainState(),
+    ) = DrainCore(policy, cluster, state, 300)
+
+    private fun drain(
+        name: String = "d",
+        atMost: Int = 1,
+        replace: Boolean = false,
+        status: DrainStatus = DrainStatus.RUNNING,
+        askedUs: Long = 0,
+    ) = Drain(name, emptyList(), replace, atMost, status, null, askedUs, null)
+
+    private fun machines(
+        vararg names: String,
+        drain: String = "d",
+    ) = names.map { DrainedMachine(it, drain, Stage.WAITING, nowUs) }
+
+    /** One step with its record written, after as long as a cordon needs; returns what was done. */
+    private fun DrainCore.go(
+        afterS: Long = 3,
+        hour: Int = 12,
+    ): List<DrainAct> {
+        nowUs += afterS * SECOND
+        return if (step(nowUs, hour) == null) emptyList() else recorded(true)
+    }
+
+    private fun List<DrainAct>.interrupted() = filterIsInstance<DrainAct.Interrupt>().flatMap { it.tasks }.map { it.task }
+
+    private fun DrainCore.stage(
+        machine: String,
+        drain: String = "d",
+    ) = state.machines.getValue(DrainKey(drain, machine)).stage
+
+    @Example
+    fun `the idle machine goes first, then the one whose tasks end soonest, then the one that loses least`() {
+        cluster.machine("m1", task(1, remainingS = 300, lostS = 10))
+        cluster.machine("m2", task(2, remainingS = 300, lostS = 5))
+        cluster.machine("m3", task(3, remainingS = 30))
+        cluster.machine("m4")
+        val core = core(DrainPolicy(DisruptionBudget(jobs = 0)))
+        core.asked(listOf(drain()), machines("m1", "m2", "m3", "m4"))
+        val order = ArrayList<String>()
+        repeat(60) {
+            core.go()
+            for (name in core.cordoned - order.toSet()) order += name
+            order.forEach { name ->
+                if (core.stage(name) == Stage.EMPTIED) cluster.conditions[name] = MachineCondition.GONE else cluster.tasks[name]?.clear()
+            }
+        }
+        condition(order == listOf("m4", "m3", "m2", "m1")) { "$order" }
+        condition(core.go().none { it is DrainAct.Interrupt }) { "interrupted" }
+    }
+
+    @Example
+    fun `an interruption is recorded before its task is stopped, and nothing is done where that fails`() {
+        cluster.machine("m1", task(1))
+        val core = core()
+        core.asked(listOf(drain()), machines("m1"))
+        core.go()
+        nowUs += 3 * SECOND
+        val next = core.step(nowUs, 12)!!
+        condition(TaskId("j-1", 0) in next.interruptions && core.state.interruptions.isEmpty()) { "$next" }
+        condition(core.step(nowUs, 12) == null) { "a step while one is being recorded" }
+        condition(core.recorded(false).isEmpty() && core.state.interruptions.isEmpty()) { "done without a record" }
+        condition(core.go().interrupted() == listOf(TaskId("j-1", 0))) { "not tried again" }
+    }
+
+    @Example
+    fun `what fails by itself uses up the budget, and its return frees it`() {
+        cluster.machine("m1", task(1))
+        cluster.machine("m2", task(2))
+        val core = core()
+        core.asked(listOf(drain(atMost = 2)), machines("m1", "m2"))
+        val failed = task(3)
+        cluster.machine("m3", failed)
+        cluster.stop(failed.task)
+        core.lost(Interruption(failed.task, failed.attempt, "red", InterruptionCause.FAILURE, nowUs))
+        repeat(3) { condition(core.go().interrupted().isEmpty()) { "beside a job that failed" } }
+        cluster.restart("m3", failed, 2)
+        core.go()
+        val first = core.go().interrupted()
+        condition(first.size == 1) { "$first" }
+        cluster.stop(first.single())
+        repeat(3) { condition(core.go().interrupted().isEmpty()) { "a second job" } }
+        condition(core.state.interruptions.keys == first.toSet()) { "${core.state.interruptions}" }
+    }
+
+    @Example
+    fun `a new leader counts what the one before it announced, and stops it again`() {
+        cluster.machine("m1", task(1))
+        cluster.machine("m2", task(2))
+        val before = core()
+        before.asked(listOf(drain(atMost = 2)), machines("m1", "m2"))
+        before.go()
+        nowUs += 3 * SECOND
+        val announced =
+            before
+                .step(nowUs, 12)!!
+                .interruptions.keys
+                .single()
+        val next = DrainState(before.state.machines, before.state.interruptions)
+        val recorded = next.copy(interruptions = mapOf(announced to row(announced)).toPersistentMap())
+        val core = core(state = recorded)
+        core.asked(listOf(drain(atMost = 2)), emptyList())
+        condition(core.go().interrupted() == listOf(announced)) { "not stopped again, or another one besides" }
+    }
+
+    private fun row(task: TaskId) = Interruption(task, 1, "red", InterruptionCause.DRAIN, nowUs)
+
+    @Example
+    fun `tasks near their end, of classes that are never interrupted, and out of hours are waited for`() {
+        cluster.machine("m1", task(1, remainingS = 10), task(2, jobClass = "invoices"))
+        val budget = DisruptionBudget(jobs = 5, hours = Hours(22, 6), neverClasses = setOf("invoices"))
+        val core = core(DrainPolicy(budget))
+        core.asked(listOf(drain()), machines("m1"))
+        repeat(3) { condition(core.go(hour = 23).interrupted().isEmpty()) { "interrupted" } }
+        cluster.tasks.getValue("m1") += task(3)
+        condition(core.go(hour = 12).interrupted().isEmpty()) { "out of hours" }
+        condition(core.go(hour = 23).interrupted() == listOf(TaskId("j-3", 0))) { "not within hours" }
+    }
+
+    @Example
+    fun `a share is of what runs and is interrupted, rounded down`() {
+        val tasks = (0 until 10).map { task(1, it) }
+        cluster.machine("m1", *tasks.toTypedArray())
+        val core = core(DrainPolicy(DisruptionBudget(share = 0.25)))
+        core.asked(listOf(drain()), machines("m1"))
+        core.go()
+        val first = core.go().interrupted()
+        condition(first.size == 2) { "$first" }
+        first.forEach(cluster::stop)
+        condition(core.go().interrupted().isEmpty()) { "a third of ten" }
+        val small = FakeCluster.task(9)
+        condition(
+            !BudgetCheck(DrainPolicy(DisruptionBudget(share = 0.25)), mapOf("red" to 3), 0, emptyList()).take(small),
+        ) { "one of three" }
+    }
+
+    @Example
+    fun `a machine is emptied only once another has taken its place and completed a start`() {
+        cluster.machine("m1", task(1))
+        val core = core()
+        core.asked(listOf(drain(replace = true)), machines("m1"))
+        condition(core.go() == listOf(DrainAct.HireLike(DrainKey("d", "m1")))) { "no machine asked for" }
+        repeat(5) { condition(core.go().isEmpty() && core.cordoned.isEmpty()) { "asked twice, or cordoned" } }
+        core.hired(DrainKey("d", "m1"), "n1")
+        core.go()
+        condition(core.onProbation == setOf("n1") && core.spare == setOf("n1")) { "${core.onProbation}" }
+        cluster.machine("n1")
+        core.go()
+        condition(core.cordoned.isEmpty()) { "cordoned before the other has started anything" }
+        cluster.tasks.getValue("n1") += task(2)
+        core.go()
+        condition(core.cordoned == setOf("m1") && core.onProbation.isEmpty()) { "${core.cordoned}" }
+        condition(core.go().interrupted() == listOf(TaskId("j-1", 0))) { "not emptied" }
+        cluster.stop(TaskId("j-1", 0))
+        condition(DrainAct.GiveBack("m1") in core.go()) { "not given back" }
+        cluster.conditions["m1"] = MachineCondition.GONE
+        core.go()
+        condition(core.stage("m1") == Stage.REPLACED) { "${core.stage("m1")}" }
+    }
+
+    @Example
+    fun `replacements that fail are given back and asked for with a growing pause, and then the drain pauses by itself`() {
+        cluster.machine("m1", task(1))
+        val core = core(DrainPolicy(replacementFailures = 3))
+        core.asked(listOf(drain(replace = true)), machines("m1"))
+        val asked = ArrayList<Long>()
+        var pause: DrainAct.Pause? = null
+        repeat(1_000) {
+            for (act in core.go()) {
+                if (act is DrainAct.HireLike) {
+                    asked += nowUs
+                    core.hired(act.key, "n${asked.size}")
+                    cluster.machine("n${asked.size}")
+                    cluster.faulty += "n${asked.size}"
+                }
+                if (act is DrainAct.GiveBack) condition(act.machine.startsWith("n")) { "$act" }
+                if (act is DrainAct.Pause && pause == null) pause = act
+            }
+            pause?.let { core.asked(listOf(drain(replace = true, status = DrainStatus.PAUSED)), emptyList()) }
+        }
+        condition(asked.size == 3 && asked[2] - asked[1] > asked[1] - asked[0]) { "asked at $asked" }
+        condition(pause?.reason?.contains("n3") == true) { "$pause" }
+        condition(core.cordoned.isEmpty() && core.onProbation.isEmpty()) { "goes on although it is paused" }
+    }
+
+    @Example
+    fun `one that never comes up counts as failed, and a refused hire is waited for`() {
+        cluster.machine("m1", task(1))
+        val core = core()
+        core.asked(listOf(drain(replace = true)), machines("m1"))
+        core.go()
+        repeat(150) { condition(core.go().isEmpty()) { "did something without a machine" } }
+        core.hired(DrainKey("d", "m1"), "n1")
+        core.go()
+        val acts = (1..150).flatMap { core.go() }
+        condition(acts.first() == DrainAct.GiveBack("n1") && acts.count { it is DrainAct.HireLike } == 1) { "$acts" }
+    }
+
+    @Example
+    fun `of two drains over a machine the first empties it, and the second finds it gone`() {
+        cluster.machine("m1")
+        cluster.machine("m2", task(1))
+        val core = core()
+        core.asked(
+            listOf(drain("late", askedUs = 2), drain("early", askedUs = 1)),
+            machines("m1", drain = "early") + machines("m1", "m2", drain = "late"),
+        )
+        core.go()
+        condition(core.stage("m1", "early") == Stage.CORDONED && core.stage("m1", "late") == Stage.WAITING) { "${core.state.machines}" }
+        condition(core.stage("m2", "late") == Stage.CORDONED) { "the second drain waits for nothing" }
+        core.go()
+        cluster.conditions["m1"] = MachineCondition.GONE
+        core.go()
+        condition(core.stage("m1", "early") == Stage.GONE && core.stage("m1", "late") == Stage.GONE) { "${core.state.machines}" }
+        condition(core.go().none { it is DrainAct.Finish }) { "asked to finish twice" }
+    }
+
+    @Example
+    fun `a machine that is lost before it is empty is told as failed, and a drain that is over is finished once`() {
+        cluster.machine("m1", task(1, remainingS = 10))
+        val core = core()
+        core.asked(listOf(drain()), machines("m1"))
+        core.go()
+        cluster.conditions["m1"] = MachineCondition.LOST
+        val acts = (1..5).flatMap { core.go() }
+        condition(core.stage("m1") == Stage.FAILED && acts == listOf(DrainAct.Finish("d"))) { "$acts" }
+    }
+
+    @Example
+    fun `nothing is done while machines of an earlier leader are not accounted for`() {
+        cluster.machine("m1")
+        cluster.complete = false
+        val core = core()
+        core.asked(listOf(drain()), machines("m1"))
+        condition(core.step(nowUs, 0) == null) { "a step of a leader that knows too little" }
+    }
+
+    /** Whatever runs where, never more is interrupted than all budgets allow together. */
+    @Property(tries = 200, seed = "22")
+    fun `no plan goes over a budget`(
+        @ForAll seed: Long,
+    ) {
+        val random = Random(seed)
+        val teams = listOf("red", "blue")
+        val policy =
+            DrainPolicy(
+                DisruptionBudget(jobs = random.nextInt(3)),
+                mapOf("blue" to DisruptionBudget(share = random.nextInt(5) / 10.0)),
+            )
+        repeat(6) { m ->
+            val tasks =
+                List(random.nextInt(6)) {
+                    task(
+                        random.nextInt(5),
+                        m * 10 + it,
+                        teams[random.nextInt(2)],
+                        20 + random.nextInt(200).toLong(),
+                    )
+                }
+            // A job has one team.
+            cluster.machine("m$m", *tasks.map { it.copy(task = TaskId("${it.task.job}-${it.team}", it.task.index)) }.toTypedArray())
+        }
+        val core = core(policy)
+        core.asked(listOf(drain(atMost = 1 + random.nextInt(6))), machines("m0", "m1", "m2", "m3", "m4", "m5"))
+        repeat(40) {
+            core.go().interrupted().forEach { if (random.nextInt(3) > 0) cluster.stop(it) }
+            val red =
+                core.state.interruptions.values
+                    .filter { it.team == "red" }
+            condition(red.map { it.task.job }.distinct().size <= policy.default.jobs!!) { "seed $seed: $red" }
+            val blue =
+                core.state.interruptions.values
+                    .count { it.team == "blue" }
+            val all =
+                cluster.tasks.values
+                    .flatten()
+                    .count { it.team == "blue" } + cluster.waiting.count { it.job.endsWith("blue") }
+            condition(blue <= policy.of("blue").share!! * all + 1e-9) { "seed $seed: $blue of $all" }
+            cluster.waiting.toList().filter { random.nextInt(4) == 0 }.forEach { back ->
+                cluster.restart(
+                    "m${random.nextInt(6)}",
+                    RunningTask(back, 1, back.job.substringAfterLast('-'), "batch", true, 90 * SECOND, 0),
+                    2 + it.toLong(),
+                )
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/test/kotlin/lichenstage/drain/DrainOperationsTest.kt
@@ -0,0 +1,166 @@
+package lichenstage.drain
+
+import io.vertx.core.json.JsonObject
+import kotlinx.coroutines.runBlocking
+import lichenstage.app.SECOND
+import lichenstage.app.Settings
+import lichenstage.app.warmUpSettings
+import lichenstage.cluster.Shape
+import lichenstage.jobs.JobRecord
+import lichenstage.jobs.JobSpec
+import lichenstage.jobs.Priority
+import lichenstage.placement.Registered
+import lichenstage.placement.Registry
+import lichenstage.state.Change
+import lichenstage.state.Committed
+import lichenstage.state.MemoryStore
+import lichenstage.state.Read
+import lichenstage.state.Scan
+import net.jqwik.api.Example
+import org.junit.platform.commons.util.Preconditions.condition
+
+/** What operators ask for on the command line. */
+class DrainOperationsTest {
+    private class Records : MemoryStore() {
+        var away = false
+
+        /** After so many transactions nothing is answered. */
+        var answered = Int.MAX_VALUE
+
+        override suspend fun get(
+            key: String,
+            timeoutMs: Long,
+        ) = if (away) Read.Unavailable else read(key)
+
+        override suspend fun txn(
+            guards: Map<String, Long>,
+            changes: List<Change>,
+            timeoutMs: Long,
+            urgent: Boolean,
+        ) = if (away || answered-- <= 0) Committed.NotExecuted else apply(guards, changes)
+
+        fun scan(prefix: String): Scan? =
+            if (away) null else Scan(entries.values.filter { it.key.startsWith(prefix) }.sortedBy { it.key }, revision)
+    }
+
+    private val store = Records()
+    private val settings = Settings.parse(warmUpSettings(8080, 8081))
+    private val operations = DrainOperations(store, store::scan, DrainRecords(settings.valueBytes), settings) { 1_000 * SECOND }
+
+    init {
+        val machines =
+            (1..300).map {
+                Registered(
+                    "vm-%03d".format(it),
+                    if (it % 2 ==
+                        0
+                    ) {
+                        "g"
+                    } else {
+                        "h"
+                    },
+                    if (it <= 200) "z" else "y",
+                    it % 3 == 0,
+                    "a:1",
+                )
+            }
+        machines.chunked(68).forEachIndexed { i, page -> store.apply(emptyMap(), listOf(Change.Put("m/$i", Registry.encode(page)))) }
+    }
+
+    private fun request(
+        selection: DrainSelection = DrainSelection(typeName = "g"),
+        replace: Boolean = false,
+        atMost: Int = 2,
+        dryRun: Boolean = false,
+        name: String = "spring",
+    ) = DrainRequest(name, selection, replace, atMost, null, dryRun)
+
+    private fun start(request: DrainRequest) = runBlocking { operations.start(request) }
+
+    @Example
+    fun `what can't be done is refused by name, and nothing is written`() {
+        val before = store.revision
+        val bound =
+            JobSpec("j-1", "c", "t", Priority.HIGH, 1, Shape(1.0, 0.0, 1.0), null, "y", false, false, true, "i", 1.0, 1, 0, 0, null, 0)
+        store.apply(emptyMap(), listOf(Change.Put("j/j-1", JobRecord.encode(bound))))
+        val refusals =
+            mapOf(
+                request(DrainSelection(setOf("vm-001", "vm-999"))) to "--machine vm-999: no such machine is recorded",
+                request(DrainSelection(zone = "moon")) to "--zone moon: no zone of this deployment",
+                request(DrainSelection(typeName = "x")) to "--type x: no machine of this type is recorded",
+                request(DrainSelection(setOf("vm-001"), typeName = "g")) to "no recorded machine is selected",
+                request(atMost = 0) to "--at-most 0: at least 1 is needed",
+                request(name = "a/b") to "a/b: a name of letters, digits and dashes is needed",
+                request(DrainSelection(zone = "y")) to "--zone y: jobs are bound to it, and no machine would be left: --replace is needed",
+            )
+        for ((request, why) in refusals) condition(start(request) == DrainAnswer.Refused(why)) { "${start(request)}, not $why" }
+        condition(store.revision == before + 1) { "something was written" }
+        condition(start(request(DrainSelection(zone = "y"), replace = true)) is DrainAnswer.Shown) { "refused with --replace" }
+    }
+
+    @Example
+    fun `machines are selected by name, type, zone, kind and the order of hiring`() {
+        fun planned(selection: DrainSelection) = (start(request(selection, dryRun = true)) as DrainAnswer.Planned).machines.map { it.name }
+        val before = store.revision
+        condition(planned(DrainSelection(setOf("vm-007"))) == listOf("vm-007")) { "by name" }
+        condition(planned(DrainSelection(typeName = "g", zone = "y")).size == 50) { "by type and zone" }
+        condition(planned(DrainSelection(spot = true)).size == 100 && planned(DrainSelection(spot = false)).size == 200) { "by kind" }
+        condition(planned(DrainSelection(hiredUpTo = "vm-010")).last() == "vm-010") { "by order" }
+        condition(store.revision == before) { "a dry run writes" }
+        val text = DrainReport.planned(start(request(DrainSelection(hiredUpTo = "vm-003"), dryRun = true)) as DrainAnswer.Planned)
+        condition(text.lines().size == 3 && text.lines().last() == "step 2: vm-003 (h, z)") { text }
+    }
+
+    @Example
+    fun `a drain that was asked for half is asked for again under its name, and is there once`() {
+        store.answered = 1
+        condition(start(request()) == DrainAnswer.Unavailable) { "told as done" }
+        condition(store.entries.keys.none { it.startsWith(DrainRecords.DRAINS) }) { "there without its machines" }
+        store.answered = Int.MAX_VALUE
+        val shown = start(request()) as DrainAnswer.Shown
+        condition(shown.reports.single().stages == mapOf(Stage.WAITING to 150)) { "${shown.reports.single().stages}" }
+        val revision = store.revision
+        condition(start(request()) is DrainAnswer.Shown && store.revision == revision) { "a repeat writes" }
+        condition(start(request(atMost = 7)) is DrainAnswer.Refused) { "another drain under the same name" }
+        store.away = true
+        condition(start(request()) == DrainAnswer.Unavailable) { "decided without the state service" }
+    }
+
+    @Example
+    fun `a drain is paused, resumed and cancelled, and one that is over stays so`() {
+        start(request())
+
+        fun change(to: DrainStatus) = runBlocking { operations.change("spring", to) }
+
+        fun status(answer: DrainAnswer) =
+            (answer as? DrainAnswer.Shown)
+                ?.reports
+                ?.single()
+                ?.drain
+                ?.status
+        condition(status(change(DrainStatus.PAUSED)) == DrainStatus.PAUSED) { "not paused" }
+        condition(status(change(DrainStatus.RUNNING)) == DrainStatus.RUNNING) { "not resumed" }
+        condition(status(change(DrainStatus.CANCELLED)) == DrainStatus.CANCELLED) { "not cancelled" }
+        condition(change(DrainStatus.RUNNING) == DrainAnswer.Refused("spring: it is cancelled")) { "resumed after its end" }
+        condition(
+            runBlocking {
+                operations.change("autumn", DrainStatus.PAUSED)
+            } == DrainAnswer.Refused("autumn: there is no such drain"),
+        ) { "unknown" }
+        val json = (runBlocking { operations.show(null) } as DrainAnswer.Shown).reports.single().json()
+        condition(json.getString("status") == "cancelled" && json.getJsonObject("stages").getInteger("waiting") == 150) { json.encode() }
+    }
+
+    @Example
+    fun `a deadline that can't be kept is said`() {
+        val drain = Drain("d", emptyList(), false, 1, DrainStatus.RUNNING, null, 0, 100 * SECOND)
+        val rows = (1..10).map { DrainedMachine("m$it", "d", if (it <= 2) Stage.GONE else Stage.WAITING, 0) }
+        val state = DrainState().let { it.copy(machines = it.machines.putAll(rows.associateBy { row -> row.key })) }
+        condition(!DrainReport.of(drain, state, 10 * SECOND).isLate) { "5 s a machine leave time" }
+        condition(DrainReport.of(drain, state, 40 * SECOND).isLate) { "20 s a machine do not" }
+        condition(DrainReport.of(drain, state, 40 * SECOND).text().contains("it can't be kept")) {
+            DrainReport.of(drain, state, 40 * SECOND).text()
+        }
+        condition(JsonObject(DrainReport.of(drain, state, 40 * SECOND).json().encode()).getBoolean("late")) { "not in JSON" }
+    }
+}
--- /dev/null
+++ b/src/test/kotlin/lichenstage/drain/DrainRecordsTest.kt
@@ -0,0 +1,89 @@
+package lichenstage.drain
+
+import io.vertx.core.json.JsonObject
+import kotlinx.collections.immutable.toPersistentMap
+import lichenstage.state.Change
+import lichenstage.state.Entry
+import net.jqwik.api.Example
+import net.jqwik.api.ForAll
+import net.jqwik.api.Property
+import org.junit.platform.commons.util.Preconditions.condition
+import java.util.Random
+
+class DrainRecordsTest {
+    private fun state(random: Random): DrainState {
+        val machines =
+            List(random.nextInt(400)) {
+                val stage = Stage.entries[random.nextInt(Stage.entries.size)]
+                DrainedMachine(
+                    "vm-%06d".format(it),
+                    "drain-${it % 3}",
+                    stage,
+                    random.nextLong(),
+                    "vm-9$it".takeIf {
+                        random.nextBoolean()
+                    },
+                    random.nextInt(5),
+                )
+            }
+        val interruptions =
+            List(random.nextInt(150)) {
+                val cause = InterruptionCause.entries[random.nextInt(2)]
+                Interruption(TaskId("j-${random.nextInt(1_000_000)}", it), random.nextLong(), "team-${it % 4}", cause, random.nextLong())
+            }
+        return DrainState(machines.associateBy { it.key }.toPersistentMap(), interruptions.associateBy { it.task }.toPersistentMap())
+    }
+
+    @Property(tries = 60, seed = "23")
+    fun `what is recorded is what a new leader reads, and each value keeps to the limit`(
+        @ForAll seed: Long,
+    ) {
+        val random = Random(seed)
+        val valueBytes = listOf(2_048, 8_192, 16_384)[random.nextInt(3)]
+        val records = DrainRecords(valueBytes)
+        val state = state(random)
+        val pages = records.encodeState(state)
+        val entries = pages.map { Entry(it.key, JsonObject(it.value.encode()), 1) }
+        val read =
+            records.decodeState(
+                entries.filter {
+                    it.key.startsWith(DrainRecords.MACHINES)
+                },
+                entries.filter { it.key.startsWith(DrainRecords.INTERRUPTIONS) },
+            )
+        condition(read == state) { "seed $seed" }
+        val machines = pages.filterKeys { it.startsWith(DrainRecords.MACHINES) }
+        condition(
+            machines.values.all { it.encode().length <= valueBytes },
+        ) { "seed $seed: ${machines.values.maxOf { it.encode().length }}" }
+    }
+
+    @Example
+    fun `only pages that differ are written, and none that is empty and not there`() {
+        val records = DrainRecords(8_192)
+        val state = state(Random(5))
+        val pages = records.encodeState(state)
+        condition(DrainRecords.changes(pages, pages).isEmpty()) { "written again" }
+        val one = state.machines.values.first()
+        val moved = records.encodeState(state.copy(machines = state.machines.put(one.key, one.copy(stage = Stage.WAITING, sinceUs = 7))))
+        condition(DrainRecords.changes(pages, moved).size == 1) { "${DrainRecords.changes(pages, moved).size} pages for one machine" }
+        condition(DrainRecords.changes(emptyMap(), records.encodeState(DrainState())).isEmpty()) { "empty pages are written" }
+        val cleared = DrainRecords.changes(pages, records.encodeState(state.copy(interruptions = DrainState().interruptions)))
+        condition(cleared.all { (it as Change.Put).value.getJsonArray("rows").isEmpty }) { "$cleared" }
+    }
+
+    @Example
+    fun `a record that can't be read or is of a later form is told with its key`() {
+        val records = DrainRecords(8_192)
+        val drain = Drain("d", listOf("m"), true, 3, DrainStatus.PAUSED, "why", 5, 9)
+        val entry = Entry(DrainRecords.DRAINS + "d", records.encode(drain), 1)
+        condition(records.decodeDrain(entry, listOf("m")) == drain) { "${records.decodeDrain(entry, listOf("m"))}" }
+        for (wrong in listOf(JsonObject(), records.encode(drain).put("form", 2), records.encode(drain).put("status", "DANCING"))) {
+            val complaint = runCatching { records.decodeDrain(Entry(entry.key, wrong, 1), emptyList()) }.exceptionOrNull()
+            condition(complaint is UnreadableRecord && complaint.message!!.startsWith(entry.key)) { "$wrong: $complaint" }
+        }
+        val page =
+            runCatching { records.decodeMachines(Entry(DrainRecords.MACHINES + "d/0", JsonObject().put("form", 1).put("rows", "x"), 1)) }
+        condition(page.exceptionOrNull() is UnreadableRecord) { "$page" }
+    }
+}
--- a/src/test/kotlin/lichenstage/placement/CheckpointStopsTest.kt
+++ b/src/test/kotlin/lichenstage/placement/CheckpointStopsTest.kt
@@ -40,7 +40,25 @@
     private fun orders(
         nowS: Long,
         vararg attempts: Attempt,
-    ) = stops.orders("m", attempts.toList(), nowS * SECOND)
+    ) = stops.orders("m", attempts.toList(), isDrained = false, nowS * SECOND)
+
+    @Example
+    fun `on a machine that an operator drains only what was requested is stopped, also where it can't save`() {
+        val long = running(job(runS = 120), sinceS = 1)
+        val unsaved = running(job(runS = 120, checkpointS = 0), sinceS = 1, index = 1)
+
+        fun drained(nowS: Long) = stops.orders("m", listOf(long, unsaved), isDrained = true, nowS * SECOND)
+        condition(drained(40).isEmpty()) { "stopped beside the budget of its team" }
+        stops.request(listOf(unsaved))
+        condition("m" in stops.concerned) { "nobody would ask" }
+        condition(drained(41) == listOf(SaveOrder("m", "j-1/1", 11, 0))) { "${drained(44)}" }
+        condition(unsaved.saveOrderedUs == 0L) { "its progress would count as saved" }
+        stops.request(listOf(long))
+        condition(drained(42).map { it.attempt } == listOf(10L) && long.saveOrderedUs > 0) { "not stopped with time to save" }
+        stops.ended(unsaved)
+        stops.ended(long)
+        condition(drained(60).isEmpty() && "m" !in stops.concerned) { "ordered after its end" }
+    }
 
     @Example
     fun `after a notice a task runs on for as long as it can still save, and the order is repeated`() {
--- a/src/test/kotlin/lichenstage/world/ClusterProfile.kt
+++ b/src/test/kotlin/lichenstage/world/ClusterProfile.kt
@@ -1,5 +1,7 @@
 package lichenstage.world
 
+import lichenstage.drain.DrainPolicy
+
 /**
  * How large a simulated cluster is, and how unkind.
  *
@@ -12,6 +14,7 @@
  * @property heldOrderShare the share of direct orders that get no answer and are carried out 2 to 16 s late
  * @property machinesComeAndGo machines are taken without notice, drained and given back; new ones come up
  * @property fetches tasks fetch an image before they run
+ * @property drainPolicy what drains may interrupt; null where they are not switched on
  */
 data class ClusterProfile(
     val machinesPerZone: Int = 3,
@@ -24,6 +27,7 @@
     val heldOrderShare: Double = 0.0,
     val machinesComeAndGo: Boolean = false,
     val fetches: Boolean = false,
+    val drainPolicy: DrainPolicy? = null,
 ) {
     companion object {
         /** Few machines, but all that the protocol allows: frames in pieces, few connections, late messages, machines that come and go. */
--- /dev/null
+++ b/src/test/kotlin/lichenstage/world/DrainFaultsTest.kt
@@ -0,0 +1,155 @@
+package lichenstage.world
+
+import lichenstage.app.MILLI
+import lichenstage.app.SECOND
+import lichenstage.drain.DisruptionBudget
+import lichenstage.drain.DrainPolicy
+import lichenstage.drain.DrainStatus
+import lichenstage.drain.Stage
+import net.jqwik.api.Example
+import org.junit.platform.commons.util.Preconditions.condition
+
+/**
+ * Drains of machines full of long tasks under concurrent faults. The checker counts from the workers' side which jobs of a team are
+ * held up by stops at each moment, and never finds one team over its budget (`over_budget`); each guard that is taken out makes it find one.
+ */
+class DrainFaultsTest {
+    private val policy = DrainPolicy(DisruptionBudget(jobs = 1))
+
+    private fun play(
+        seed: Long,
+        mutation: Mutation = Mutation.NONE,
+        policy: DrainPolicy = this.policy,
+        script: SimulatedCluster.() -> Unit,
+    ): SimulatedCluster {
+        val profile = ClusterProfile(machinesPerZone = 4, teamCores = 40.0, machinesComeAndGo = true, fetches = true, drainPolicy = policy)
+        return SimulatedCluster(seed, mutation, profile).apply {
+            checker.jobsInterruptible = policy.default.jobs
+            repeat(16) { n -> script(SECOND + n * SECOND) { submitLong(n, 150 * SECOND) } }
+            script()
+            run(FAULTS_US, CALM_US)
+        }
+    }
+
+    private fun keepsBudgets(
+        seeds: LongRange = 1L..SEEDS,
+        policy: DrainPolicy = this.policy,
+        script: SimulatedCluster.() -> Unit,
+        check: SimulatedCluster.(Long) -> Unit = { seed -> isOver(seed) },
+    ) {
+        var interruptions = 0
+        for (seed in seeds) {
+            val world = play(seed, policy = policy, script = script)
+            condition(world.checker.broken.isEmpty()) { "seed $seed: ${world.checker.broken.take(3)}" }
+            world.check(seed)
+            interruptions += world.checker.interruptions
+        }
+        condition(interruptions > 0 || policy.default.jobs == 0) { "nothing was interrupted in any world" }
+    }
+
+    private fun SimulatedCluster.isOver(seed: Long) {
+        condition(drain("all").status == DrainStatus.FINISHED) { "seed $seed: ${drain("all").status} ${stages("all")}" }
+        condition(openJobs.isEmpty()) { "seed $seed: never finished: $openJobs" }
+    }
+
+    @Example
+    fun `a drain of every machine keeps the budgets under faults of any kind`() =
+        keepsBudgets(script = {
+            script(30 * SECOND) { drainAll("all", atMost = 3, replace = false) }
+            repeat(10) { n -> script((34 + 6L * n) * SECOND) { drawFault() } }
+        })
+
+    @Example
+    fun `each machine is followed by a fresh one, of which some never come up`() =
+        keepsBudgets(script = {
+            script(30 * SECOND) { drainAll("all", atMost = 4, replace = true) }
+            repeat(5) { n -> script((40 + 12L * n) * SECOND) { drawFault() } }
+        })
+
+    @Example
+    fun `leaders change ten times in two minutes while a drain goes on`() =
+        keepsBudgets(script = {
+            script(30 * SECOND) { drainAll("all", atMost = 4, replace = false) }
+            repeat(10) { n -> script((36 + 12L * n) * SECOND) { crash(maxOf(leader, 0), (300 + 700L * (n % 3)) * MILLI) } }
+        })
+
+    @Example
+    fun `the leader is cut from the state service, and that is out for longer than a cancellation has, in the middle of a step`() =
+        keepsBudgets(script = {
+            script(30 * SECOND) { drainAll("all", atMost = 4, replace = false) }
+            repeat(4) { n -> script((40 + 15L * n) * SECOND) { cutFromState(maxOf(leader, 0), 9 * SECOND, held = n % 2 == 0) } }
+            script(110 * SECOND) { outage(45 * SECOND) }
+        })
+
+    @Example
+    fun `machines hang, are deaf, or are taken while they are emptied`() =
+        keepsBudgets(script = {
+            script(30 * SECOND) { drainAll("all", atMost = 4, replace = false) }
+            repeat(8) { n ->
+                script((38 + 7L * n) * SECOND) {
+                    hang(n % 12, 12 * SECOND)
+                    deafen((n + 3) % 12, 14 * SECOND)
+                    if (n % 3 == 0) repeat(3) { takeMachine((n + 5 + it) % 12) }
+                }
+            }
+        })
+
+    @Example
+    fun `a budget of zero interrupts nothing, and the drain ends with the tasks`() =
+        keepsBudgets(
+            1L..4L,
+            DrainPolicy(DisruptionBudget(jobs = 0)),
+            { script(30 * SECOND) { drainAll("all", atMost = 12, replace = false) } },
+        ) { seed ->
+            condition(checker.interruptions == 0) { "seed $seed: ${checker.interruptions} interrupted" }
+            condition(drain("all").status == DrainStatus.FINISHED) { "seed $seed: ${stages("all")}" }
+        }
+
+    @Example
+    fun `two drains over the same machines empty each once`() =
+        keepsBudgets(1L..6L, script = {
+            script(30 * SECOND) { drainAll("all", atMost = 2, replace = false) }
+            script(31 * SECOND) { drainAll("second", atMost = 2, replace = false) }
+            script(60 * SECOND) { crash(maxOf(leader, 0), SECOND) }
+        }) { seed ->
+            isOver(seed)
+            condition(drain("second").status == DrainStatus.FINISHED) { "seed $seed: ${stages("second")}" }
+        }
+
+    @Example
+    fun `a drain that is paused goes no further, and one that is cancelled leaves its machines to work`() =
+        keepsBudgets(1L..4L, script = {
+            script(30 * SECOND) { drainAll("all", atMost = 2, replace = false) }
+            script(50 * SECOND) { setDrain("all", DrainStatus.PAUSED) }
+            script(52 * SECOND) { pausedAt = checker.interruptions }
+            script(80 * SECOND) { condition(checker.interruptions <= pausedAt + 2) { "goes on: ${checker.interruptions} of $pausedAt" } }
+            script(81 * SECOND) { setDrain("all", DrainStatus.CANCELLED) }
+        }) { seed ->
+            condition((stages("all")[Stage.WAITING] ?: 0) > 0) { "seed $seed: ${stages("all")}" }
+            condition(openJobs.isEmpty()) { "seed $seed: never finished: $openJobs" }
+        }
+
+    private var pausedAt = 0
+
+    /** A check that can't fail is none: with the account broken on purpose the workers' side finds a team over its budget. */
+    @Example
+    fun `each guard is needed`() {
+        for (guard in listOf(Mutation.INTERRUPTIONS_FORGOTTEN, Mutation.INTERRUPTIONS_DROPPED)) {
+            val seen =
+                (1L..MOST_SEEDS).any { seed ->
+                    play(seed, guard) {
+                        script(30 * SECOND) { drainAll("all", atMost = 6, replace = false) }
+                        repeat(12) { n -> script((36 + 7L * n) * SECOND) { crash(maxOf(leader, 0), 300 * MILLI) } }
+                    }.checker.broken.any { it.startsWith("over_budget") }
+                }
+            condition(seen) { "$guard: no world went over its budget" }
+        }
+    }
+
+    private companion object {
+        const val SEEDS = 8L
+        const val MOST_SEEDS = 30L
+        const val FAULTS_US = 150 * SECOND
+        const val CALM_US = 1_200 * SECOND
+    }
+}
--- a/src/test/kotlin/lichenstage/world/Mutation.kt
+++ b/src/test/kotlin/lichenstage/world/Mutation.kt
@@ -13,6 +13,12 @@
     COPIES_BELIEVED,
     CLEARED_AT_ONCE,
 
+    /** A new leader does not know which tasks the one before it has interrupted. */
+    INTERRUPTIONS_FORGOTTEN,
+
+    /** The account of interruptions has each only until its task was stopped. */
+    INTERRUPTIONS_DROPPED,
+
     /** A frame that leaves out machines counts as one that tells of all. */
     PIECES_TAKEN_FOR_WHOLE,
 
--- a/src/test/kotlin/lichenstage/world/RuleChecker.kt
+++ b/src/test/kotlin/lichenstage/world/RuleChecker.kt
@@ -10,6 +10,38 @@
         val job: SimulatedJob,
     )
 
+    /** How many jobs of a team may be held up by stops at once, where drains are played. */
+    var jobsInterruptible: Int? = null
+
+    /** Tasks of each team that were stopped by command and have not run again, as the workers see it. */
+    private val stopped = HashMap<String, HashMap<Pair<String, Int>, Long>>()
+
+    /** Stops of tasks that were wanted, and the most jobs that were held up by them at once. */
+    var interruptions = 0
+        private set
+    var mostJobsInterrupted = 0
+        private set
+
+    /** A running task was stopped by command; that of a job that was called off does not count. */
+    fun stopped(
+        job: SimulatedJob,
+        index: Int,
+        now: Long,
+    ) {
+        if (job.id in cancelled || final[job.id] != null || completed[job.id]?.contains(index) == true) return
+        interruptions++
+        val team = stopped.getOrPut(job.team) { HashMap() }
+        team[job.id to index] = now
+        val jobs =
+            team.keys
+                .map { it.first }
+                .filter { it !in cancelled && final[it] == null }
+                .distinct()
+        mostJobsInterrupted = maxOf(mostJobsInterrupted, jobs.size)
+        val most = jobsInterruptible ?: return
+        if (jobs.size > most) broken += "over_budget: ${job.team} has $jobs interrupted at $now"
+    }
+
     /** What is on machines, by job and index. */
     private val on = HashMap<String, HashMap<Int, MutableList<Running>>>()
     private val completed = HashMap<String, HashSet<Int>>()
@@ -33,6 +65,7 @@
         now: Long,
     ) {
         starts++
+        stopped[job.team]?.remove(job.id to index)
         val key = "${job.id}/$index"
         placed(machine, job, now)
         val there = on.getOrPut(job.id) { HashMap() }.getOrPut(index) { ArrayList() }
--- a/src/test/kotlin/lichenstage/world/SeedSweep.kt
+++ b/src/test/kotlin/lichenstage/world/SeedSweep.kt
@@ -8,8 +8,8 @@
 private const val CALM_US = 420_000_000L
 
 /**
- * The long form of [SimulatedClusterTest], run by hand: `SeedSweepKt PROFILE FIRST COUNT [THREADS]`. Prints each seed that breaks a rule, or
- * that leaves work undone, and closes with how many were played.
+ * The long form of [SimulatedClusterTest], run by hand: `SeedSweepKt PROFILE FIRST COUNT [THREADS]`. Prints each seed that
+ * breaks a rule, or that leaves work undone, and closes with how many were played.
  */
 fun main(args: Array<String>) {
     val profile =
--- a/src/test/kotlin/lichenstage/world/SimulatedCluster.kt
+++ b/src/test/kotlin/lichenstage/world/SimulatedCluster.kt
@@ -2,6 +2,10 @@
 
 import lichenstage.app.MILLI
 import lichenstage.app.SECOND
+import lichenstage.drain.Drain
+import lichenstage.drain.DrainStatus
+import lichenstage.drain.DrainedMachine
+import lichenstage.drain.Stage
 import lichenstage.world.SimulationContext.Companion.CONTROLLERS
 import lichenstage.world.SimulationContext.Companion.hostOf
 
@@ -130,6 +134,33 @@
 
     fun cancelPipelines(count: Int) = users.cancelPipelines(count)
 
+    /** An operator asks for a drain of all machines that there are. */
+    fun drainAll(
+        name: String,
+        atMost: Int,
+        replace: Boolean,
+    ) {
+        val names = machinesThere.all.filter { !it.gone }.map { it.name }
+        state.drainedMachines += names.map { DrainedMachine(it, name, Stage.WAITING, now) }
+        state.drains[name] = Drain(name, names, replace, atMost, DrainStatus.RUNNING, null, now, null)
+    }
+
+    fun setDrain(
+        name: String,
+        status: DrainStatus,
+    ) {
+        state.drains.computeIfPresent(name) { _, drain -> drain.copy(status = status) }
+    }
+
+    fun drain(name: String): Drain = state.drains.getValue(name)
+
+    /** Machines of the drain by stage, as recorded. */
+    fun stages(name: String): Map<Stage, Int> =
+        state.drainState.machines.values
+            .filter { it.drain == name }
+            .groupingBy { it.stage }
+            .eachCount()
+
     /** How many tasks of the job are on machines. */
     fun running(job: String) = checker.running(job)
 
--- a/src/test/kotlin/lichenstage/world/SimulatedFleet.kt
+++ b/src/test/kotlin/lichenstage/world/SimulatedFleet.kt
@@ -56,12 +56,22 @@
     private var returning = false
     private val draining = HashSet<String>()
 
+    /** Machines that drains have emptied. */
+    private val wanted = HashSet<String>()
+
+    /** Cordoned by drains. */
+    var cordoned: Set<String> = emptySet()
+
     fun step() {
         register()
         drain()
         giveBack()
     }
 
+    fun giveBack(machine: String) {
+        wanted += machine
+    }
+
     private fun register() {
         val due = leader.unregistered().map { it.machine.name }.filter { it !in draining }
         if (registering || due.isEmpty()) return
@@ -75,8 +85,8 @@
     private fun drain() {
         if (random.nextInt(DRAIN_ONE_IN) == 0) {
             registry.all().takeIf { it.isNotEmpty() }?.let { draining += it[random.nextInt(it.size)] }
-            leader.cordon(draining.toSet())
         }
+        leader.cordon(draining + cordoned)
     }
 
     private fun giveBack() {
@@ -85,7 +95,7 @@
         val silent = views.filter { it.silent }.map { it.name }
         val lost = views.filter { it.lost }.map { it.name }
         val empty = draining.filter { leader.attemptsOn(it).isEmpty() }
-        val due = (lost + empty + leader.blockers() + if (silent.size <= MOST_SILENT) silent else emptyList()).distinct()
+        val due = (lost + empty + wanted + leader.blockers() + if (silent.size <= MOST_SILENT) silent else emptyList()).distinct()
         if (due.isEmpty()) return
         returning = true
         var answered = false
@@ -106,6 +116,7 @@
         if (!site.leads(leader)) return
         names.forEach(leader::machineGone)
         draining -= names.toSet()
+        wanted -= names.toSet()
         site.write({ registry.remove(names) }) { }
     }
 
--- a/src/test/kotlin/lichenstage/world/SimulatedLeadership.kt
+++ b/src/test/kotlin/lichenstage/world/SimulatedLeadership.kt
@@ -30,6 +30,7 @@
     private val seenJobs = HashSet<String>()
     private var fleet: SimulatedFleet? = null
     private var orphansBusy = false
+    private var drains: SimulatedDrains? = null
 
     /** Null while another controller leads, or none. */
     var leader: LeaderCore? = null
@@ -55,6 +56,7 @@
         cancelOrphans(current)
         current.tick(now)
         if (controller.reachesState && context.profile.machinesComeAndGo) fleet?.step()
+        if (controller.reachesState) drains?.step()
     }
 
     /** What the leader's watch of the open jobs brings. */
@@ -90,6 +92,7 @@
         if (mutation != Mutation.REGISTRY_LOST) begun.inherited(machines.registry.all().map(machines::inherited))
         leader = begun
         fleet = SimulatedFleet(begun, machines.registry, site(term), context.random)
+        drains = context.profile.drainPolicy?.let { SimulatedDrains(begun, it, context, state, machines, fleet!!, site(term)) }
         seenJobs.clear()
         state.open.values.forEach { addJob(begun, it) }
         return begun
--- a/src/test/kotlin/lichenstage/world/SimulatedMachines.kt
+++ b/src/test/kotlin/lichenstage/world/SimulatedMachines.kt
@@ -67,11 +67,21 @@
         context.every(2 * SECOND) { report(worker) }
     }
 
+    /** A machine is hired; now and then one never comes up. */
+    fun hire(zone: String): String {
+        val worker = boot(zone)
+        if (random.nextInt(8) > 0) context.at(random.nextInt(LONGEST_BOOT_US).toLong()) { powerOn(worker) }
+        return worker.name
+    }
+
+    /** Machines that have been followed by others already. */
+    val replaced = HashSet<String>()
+
     /** The cloud takes machines; others come up in their zones. */
     fun take(names: Collection<String>) {
         for (worker in names.mapNotNull { byName[it] }.filter { !it.gone }) {
             worker.vanish()
-            context.at(random.nextInt(LONGEST_BOOT_US).toLong()) { powerOn(boot(worker.zone)) }
+            if (worker.name !in replaced) context.at(random.nextInt(LONGEST_BOOT_US).toLong()) { powerOn(boot(worker.zone)) }
         }
     }
 
--- a/src/test/kotlin/lichenstage/world/SimulatedStateService.kt
+++ b/src/test/kotlin/lichenstage/world/SimulatedStateService.kt
@@ -1,5 +1,8 @@
 package lichenstage.world
 
+import lichenstage.drain.Drain
+import lichenstage.drain.DrainState
+import lichenstage.drain.DrainedMachine
 import lichenstage.jobs.Outcome
 import lichenstage.world.SimulationContext.Companion.CONTROLLERS
 import lichenstage.world.SimulationContext.Companion.LEASE_US
@@ -34,6 +37,11 @@
     val ends = ArrayList<JobEnd>()
     private var outageUntilUs = 0L
 
+    /** Drains as operators have asked for them, and what leaders have recorded of them. */
+    val drains = LinkedHashMap<String, Drain>()
+    val drainedMachines = ArrayList<DrainedMachine>()
+    var drainState = DrainState()
+
     val lastRevision get() = revision
     val isOut get() = context.now < outageUntilUs
 
--- a/src/test/kotlin/lichenstage/world/SimulatedWorker.kt
+++ b/src/test/kotlin/lichenstage/world/SimulatedWorker.kt
@@ -98,7 +98,7 @@
         val key = command.task to command.attempt
         when (command) {
             is Command.Start -> start(command, now)
-            is Command.Stop -> tasks[key]?.let { if (it.phase != TaskPhase.ENDED) end(it, "halted") }
+            is Command.Stop -> tasks[key]?.let { if (it.phase != TaskPhase.ENDED) stop(it, now) }
             is Command.Clear -> if (tasks[key]?.phase == TaskPhase.ENDED) tasks.remove(key)
         }
     }
@@ -153,6 +153,15 @@
         tasks.clear()
     }
 
+    private fun stop(
+        task: Task,
+        now: Long,
+    ) {
+        val ran = task.phase == TaskPhase.RUNNING
+        end(task, "halted")
+        if (ran) checker.stopped(task.job, task.index, now)
+    }
+
     private fun end(
         task: Task,
         cause: String,
