--- a/src/test/kotlin/lichenstage/standin/CloudStandIn.kt
+++ b/src/test/kotlin/lichenstage/standin/CloudStandIn.kt
@@ -14,6 +14,7 @@
 ) {
     private val machines = LinkedHashMap<String, WorkerStandIn>()
     private val hires = HashMap<String, JsonArray>()
+    private val returned = HashSet<String>()
 
     fun start() {
         vertx
@@ -96,7 +97,10 @@
     }
 
     private fun giveBack(body: JsonObject): JsonObject {
-        body.getJsonArray("holdfasts").forEach { machines[it as String]?.stop() }
+        body.getJsonArray("holdfasts").forEach {
+            returned += it as String
+            machines[it]?.stop()
+        }
         return JsonObject()
     }
 
@@ -104,7 +108,7 @@
         since: String,
         most: Int,
     ): JsonObject {
-        val after = machines.filter { it.key > since && it.value.up }.entries
+        val after = machines.filter { it.key > since && it.key !in returned && (it.value.up || it.value.cold) }.entries
         val rows =
             after.take(most).map { (name, worker) ->
                 JsonObject()
@@ -113,7 +117,7 @@
                     .put("build", "c4")
                     .put("yard", worker.zone)
                     .put("loaners", true)
-                    .put("status", "running")
+                    .put("status", if (worker.up) "running" else "starting")
                     .put("age_s", 1.0)
             }
         return JsonObject().put("holdfasts", JsonArray(rows)).put("truncated", after.size > most)
--- /dev/null
+++ b/src/test/kotlin/lichenstage/standin/DrainCheck.kt
@@ -0,0 +1,256 @@
+package lichenstage.standin
+
+import io.vertx.core.Vertx
+import io.vertx.core.VertxOptions
+import io.vertx.core.json.JsonArray
+import io.vertx.core.json.JsonObject
+import java.io.File
+import java.net.URI
+import java.net.http.HttpClient
+import java.net.http.HttpRequest
+import java.net.http.HttpResponse
+import java.time.Duration
+import java.util.Random
+import java.util.concurrent.TimeUnit
+import kotlin.system.exitProcess
+
+/**
+ * A check of drains on loopback, run by hand: `DrainCheckKt [SEED]`. The built jar three times against the stand-ins, tasks of two teams on
+ * every machine, and a drain of all of them with replacements, some of which never come up, while controllers are killed as the seed has
+ * it. An observer at the workers counts which jobs of each team are held up by stops at every moment.
+ */
+fun main(args: Array<String>) {
+    exitProcess(DrainCheck(deployedRun(), args.firstOrNull()?.toLong() ?: 1).run())
+}
+
+/** Which jobs are held up by stops, as the workers see it. */
+internal class InterruptionObserver {
+    private val stopped = HashMap<String, HashSet<String>>()
+    private val running = HashMap<String, HashSet<String>>()
+    var interruptions = 0
+        private set
+    var most = HashMap<String, Int>()
+        private set
+    var ranTwice = 0
+        private set
+
+    @Synchronized
+    fun started(
+        task: String,
+        machine: String,
+    ) {
+        val there = running.getOrPut(task) { HashSet() }
+        there += machine
+        if (there.size > 1) ranTwice++
+        stopped[teamOf(task)]?.remove(task)
+    }
+
+    @Synchronized
+    fun ended(
+        task: String,
+        machine: String,
+    ) {
+        running[task]?.remove(machine)
+    }
+
+    @Synchronized
+    fun halted(task: String) {
+        interruptions++
+        val team = teamOf(task)
+        val tasks = stopped.getOrPut(team) { HashSet() }
+        tasks += task
+        most.merge(team, tasks.map { it.substringBefore('/') }.distinct().size, ::maxOf)
+    }
+
+    @Synchronized
+    fun runningTasks() = running.values.count { it.isNotEmpty() }
+
+    companion object {
+        /** Even jobs are of one team, odd ones of the other. */
+        fun teamOf(task: String) = if (task.substringBefore('/').substringAfter('-').toInt() % 2 == 0) "red" else "blue"
+    }
+}
+
+private class DrainCheck(
+    private val command: List<String>,
+    seed: Long,
+) {
+    private val vertx = Vertx.vertx(VertxOptions().setEventLoopPoolSize(1))
+    private val deployment = Deployment(listOf("a", "b", "c"))
+    private val random = Random(seed)
+    private val folder =
+        File("target/drain-check").apply {
+            deleteRecursively()
+            mkdirs()
+        }
+    private val http = HttpClient.newBuilder().connectTimeout(Duration.ofSeconds(2)).build()
+    private val observer = InterruptionObserver()
+    private val processes = HashMap<Int, Process>()
+    private val workers = ArrayList<WorkerStandIn>()
+    private val began = System.nanoTime()
+    private var jobs = 0
+    private var passed = 0
+    private var failed = 0
+
+    fun run(): Int {
+        try {
+            begin()
+            check("wrong arguments end with status 2") { drain("start", "x", "--zone", "moon") == REFUSED && drain("halt", "x") == REFUSED }
+            check("a dry run writes nothing") { drain("start", "x", "--all", "--dry-run") == 0 && drain("status", "x") == REFUSED }
+            val before = workers.filter { it.up }
+            check("a drain of every machine is taken, again too") {
+                (1..2).all {
+                    drain("start", NAME, "--all", "--at-most", "3", "--replace") ==
+                        0
+                }
+            }
+            check("it is finished while controllers are killed") { goesOn() }
+            check("every machine that was there is gone") { before.none { it.up } }
+            check("tasks were interrupted") { observer.interruptions > 0 }
+            check("no team was over its budget: ${observer.most}") { observer.most.values.all { it <= BUDGET } }
+            check("no task was on two machines") { observer.ranTwice == 0 }
+        } finally {
+            processes.values.forEach { it.destroyForcibly() }
+            vertx.close()
+        }
+        println("${observer.interruptions} interruptions, ${elapsedS()} s")
+        println("$passed passed, $failed failed")
+        return if (failed == 0) 0 else 1
+    }
+
+    private fun elapsedS() = TimeUnit.NANOSECONDS.toSeconds(System.nanoTime() - began)
+
+    private fun begin() {
+        File(folder, "operator.hcl").writeText("drains {\n  default {\n    jobs = $BUDGET\n  }\n}\n")
+        StateStandIn(vertx, deployment.statePort).start()
+        val cloud = CloudStandIn(vertx, deployment.cloudPort, deployment.zones, ::worker)
+        cloud.start()
+        cloud.stock(MACHINES)
+        deployment.zones.indices.forEach(::launch)
+        check("all become healthy") { eventually(60) { deployment.zones.indices.all { status(it, "GET", "/healthz") == 200 } } }
+        repeat(MACHINES) { submit() }
+        check("tasks run on every machine") { eventually(60) { observer.runningTasks() >= MACHINES } }
+    }
+
+    /** Of those that are hired later, one in four never comes up. */
+    private fun worker(
+        name: String,
+        zone: String,
+    ): WorkerStandIn {
+        val cold = workers.size >= MACHINES && workers.size % 4 == 0
+        val port = deployment.freePort()
+        val worker =
+            WorkerStandIn(
+                vertx,
+                name,
+                zone,
+                port,
+                deployment.labels,
+                20_000,
+                RUN_MS,
+                400,
+                observer::started,
+                observer::ended,
+                observer::halted,
+                cold,
+            )
+        return worker.also { workers += it }
+    }
+
+    /** Until the drain is finished: work comes, and controllers are killed. */
+    private fun goesOn(): Boolean {
+        var killAtS = elapsedS() + 5
+        return eventually(MOST_S) {
+            submit()
+            if (elapsedS() >= killAtS) {
+                killAtS = elapsedS() + 6 + random.nextInt(8)
+                val node = random.nextInt(deployment.zones.size)
+                processes.getValue(node).destroyForcibly().waitFor()
+                launch(node)
+            }
+            Thread.sleep(2_000)
+            drain("status", NAME) == 0 && File(folder, "drain.log").readText().contains("$NAME: finished")
+        }
+    }
+
+    private fun submit() {
+        val id = jobs++
+        val job = submission(id, 2, InterruptionObserver.teamOf("j-$id/0"), guessS = RUN_MS / 1000.0).put("cores", 8.0)
+        deployment.zones.indices.any { status(it, "POST", "/api/jobs", job.encode()) in 200..201 }
+    }
+
+    private fun check(
+        what: String,
+        test: () -> Boolean,
+    ) {
+        val ok = test()
+        println("${if (ok) "ok  " else "FAIL"} $what (${elapsedS()} s)")
+        if (ok) passed++ else failed++
+    }
+
+    private fun eventually(
+        withinS: Long,
+        test: () -> Boolean,
+    ): Boolean {
+        val until = System.nanoTime() + TimeUnit.SECONDS.toNanos(withinS)
+        while (System.nanoTime() < until) {
+            if (test()) return true
+            Thread.sleep(100)
+        }
+        return false
+    }
+
+    /** The command beside the service; its output is left in a file. */
+    private fun drain(vararg args: String): Int {
+        val line = command.dropLast(1) + "drain" + args + listOf("--config", File(folder, "n0.json").path)
+        val process = ProcessBuilder(line).redirectErrorStream(true).redirectOutput(File(folder, "drain.log")).start()
+        if (!process.waitFor(30, TimeUnit.SECONDS)) process.destroyForcibly()
+        return process.waitFor()
+    }
+
+    private fun launch(node: Int) {
+        val file = File(folder, "n$node.json")
+        file.writeText(deployment.settings(node, limits()).encodePrettily())
+        val log = ProcessBuilder.Redirect.appendTo(File(folder, "n$node.log"))
+        val operator = listOf("--operator", File(folder, "operator.hcl").path)
+        processes[node] = ProcessBuilder(command + file.path + operator).redirectErrorStream(true).redirectOutput(log).start()
+    }
+
+    private fun limits(): JsonObject {
+        val teams = listOf("red", "blue").map { JsonObject().put("name", it).put("cpus", 0.0).put("cpus_max", 400.0) }
+        return JsonObject()
+            .put("teams", JsonArray(teams))
+            .put("workers", JsonObject().put("report_s", 1.0).put("lease_s", 20.0).put("cancel_s", 40.0))
+            .put(
+                "state",
+                JsonObject()
+                    .put("rps", 300.0)
+                    .put("write_rps", 150.0)
+                    .put("value_kb", 8.0)
+                    .put("txn_ops", 12),
+            ).put("cloud", JsonObject().put("rps", 8.0).put("list_lag_s", 1.0))
+    }
+
+    private fun status(
+        node: Int,
+        method: String,
+        path: String,
+        body: String? = null,
+    ): Int =
+        try {
+            val publisher = if (body == null) HttpRequest.BodyPublishers.noBody() else HttpRequest.BodyPublishers.ofString(body)
+            val request = HttpRequest.newBuilder(URI("http://127.0.0.1:${deployment.serve[node]}$path")).timeout(Duration.ofSeconds(5))
+            http.send(request.method(method, publisher).build(), HttpResponse.BodyHandlers.ofString()).statusCode()
+        } catch (_: java.io.IOException) {
+            0
+        }
+
+    private companion object {
+        const val NAME = "all-out"
+        const val BUDGET = 1
+        const val MACHINES = 8
+        const val RUN_MS = 60_000L
+        const val MOST_S = 420L
+        const val REFUSED = 2
+    }
+}
--- a/src/test/kotlin/lichenstage/standin/WorkerStandIn.kt
+++ b/src/test/kotlin/lichenstage/standin/WorkerStandIn.kt
@@ -22,6 +22,10 @@
     private val reportMs: Long,
     private val onStart: (task: String, machine: String) -> Unit,
     private val onEnd: (task: String, machine: String) -> Unit,
+    /** A running task was stopped by command. */
+    private val onHalt: (task: String) -> Unit = {},
+    /** It never comes up. */
+    val cold: Boolean = false,
 ) {
     private class Task(
         var status: String,
@@ -49,7 +53,8 @@
         private set
 
     fun start() {
-        up = true
+        up = !cold
+        if (cold) return
         vertx
             .createHttpServer()
             .requestHandler { request ->
@@ -188,6 +193,7 @@
         task.status = "ended"
         task.cause = cause
         onEnd(key.first, name)
+        if (cause == "halted") onHalt(key.first)
         changed()
     }
 
--- a/src/test/kotlin/lichenstage/world/ClusterProfile.kt
+++ b/src/test/kotlin/lichenstage/world/ClusterProfile.kt
@@ -13,6 +13,7 @@
  * @property slowShare the share of messages that are seconds late, behind newer ones
  * @property heldOrderShare the share of direct orders that get no answer and are carried out 2 to 16 s late
  * @property machinesComeAndGo machines are taken without notice, drained and given back; new ones come up
+ * @property keepsMachines nobody but operators drains machines
  * @property fetches tasks fetch an image before they run
  * @property drainPolicy what drains may interrupt; null where they are not switched on
  */
@@ -26,6 +27,7 @@
     val slowShare: Double = 0.0,
     val heldOrderShare: Double = 0.0,
     val machinesComeAndGo: Boolean = false,
+    val keepsMachines: Boolean = false,
     val fetches: Boolean = false,
     val drainPolicy: DrainPolicy? = null,
 ) {
--- a/src/test/kotlin/lichenstage/world/RuleChecker.kt
+++ b/src/test/kotlin/lichenstage/world/RuleChecker.kt
@@ -22,14 +22,20 @@
     var mostJobsInterrupted = 0
         private set
 
-    /** A running task was stopped by command; that of a job that was called off does not count. */
+    /** How long tasks had run that were stopped. */
+    var lostProgressUs = 0L
+        private set
+
+    /** A running task was stopped by command after [ranUs]; that of a job that was called off does not count. */
     fun stopped(
         job: SimulatedJob,
         index: Int,
+        ranUs: Long,
         now: Long,
     ) {
         if (job.id in cancelled || final[job.id] != null || completed[job.id]?.contains(index) == true) return
         interruptions++
+        lostProgressUs += ranUs
         val team = stopped.getOrPut(job.team) { HashMap() }
         team[job.id to index] = now
         val jobs =
--- a/src/test/kotlin/lichenstage/world/SimulatedCluster.kt
+++ b/src/test/kotlin/lichenstage/world/SimulatedCluster.kt
@@ -134,13 +134,18 @@
 
     fun cancelPipelines(count: Int) = users.cancelPipelines(count)
 
-    /** An operator asks for a drain of all machines that there are. */
+    /** An operator asks for a drain of all machines that there are, or of one in [share] of them. */
     fun drainAll(
         name: String,
         atMost: Int,
         replace: Boolean,
+        share: Int = 1,
     ) {
-        val names = machinesThere.all.filter { !it.gone }.map { it.name }
+        val names =
+            machinesThere.all
+                .filter { !it.gone }
+                .map { it.name }
+                .filterIndexed { i, _ -> i % share == 0 }
         state.drainedMachines += names.map { DrainedMachine(it, name, Stage.WAITING, now) }
         state.drains[name] = Drain(name, names, replace, atMost, DrainStatus.RUNNING, null, now, null)
     }
@@ -152,6 +157,9 @@
         state.drains.computeIfPresent(name) { _, drain -> drain.copy(status = status) }
     }
 
+    /** How often leaders have recorded a step of drains. */
+    val drainWrites get() = state.drainWrites
+
     fun drain(name: String): Drain = state.drains.getValue(name)
 
     /** Machines of the drain by stage, as recorded. */
--- a/src/test/kotlin/lichenstage/world/SimulatedDrains.kt
+++ b/src/test/kotlin/lichenstage/world/SimulatedDrains.kt
@@ -73,6 +73,8 @@
         leader.drained(core.cordoned)
         leader.putOnProbation(core.onProbation)
         val next = core.step(context.now, hour = 0) ?: return
+        if (next == core.state) return core.recorded(ok = true).forEach(::carryOut)
+        state.drainWrites++
         site.write({ state.drainState = next }) { ok -> core.recorded(ok).forEach(::carryOut) }
     }
 
--- a/src/test/kotlin/lichenstage/world/SimulatedFleet.kt
+++ b/src/test/kotlin/lichenstage/world/SimulatedFleet.kt
@@ -51,6 +51,7 @@
     private val registry: SimulatedRegistry,
     private val site: FleetSite,
     private val random: Random,
+    private val keepsMachines: Boolean,
 ) {
     private var registering = false
     private var returning = false
@@ -83,7 +84,7 @@
     }
 
     private fun drain() {
-        if (random.nextInt(DRAIN_ONE_IN) == 0) {
+        if (!keepsMachines && random.nextInt(DRAIN_ONE_IN) == 0) {
             registry.all().takeIf { it.isNotEmpty() }?.let { draining += it[random.nextInt(it.size)] }
         }
         leader.cordon(draining + cordoned)
--- a/src/test/kotlin/lichenstage/world/SimulatedLeadership.kt
+++ b/src/test/kotlin/lichenstage/world/SimulatedLeadership.kt
@@ -91,7 +91,7 @@
         orphansBusy = false
         if (mutation != Mutation.REGISTRY_LOST) begun.inherited(machines.registry.all().map(machines::inherited))
         leader = begun
-        fleet = SimulatedFleet(begun, machines.registry, site(term), context.random)
+        fleet = SimulatedFleet(begun, machines.registry, site(term), context.random, context.profile.keepsMachines)
         drains = context.profile.drainPolicy?.let { SimulatedDrains(begun, it, context, state, machines, fleet!!, site(term)) }
         seenJobs.clear()
         state.open.values.forEach { addJob(begun, it) }
--- a/src/test/kotlin/lichenstage/world/SimulatedStateService.kt
+++ b/src/test/kotlin/lichenstage/world/SimulatedStateService.kt
@@ -42,6 +42,9 @@
     val drainedMachines = ArrayList<DrainedMachine>()
     var drainState = DrainState()
 
+    /** How often that was written. */
+    var drainWrites = 0
+
     val lastRevision get() = revision
     val isOut get() = context.now < outageUntilUs
 
--- a/src/test/kotlin/lichenstage/world/SimulatedWorker.kt
+++ b/src/test/kotlin/lichenstage/world/SimulatedWorker.kt
@@ -133,7 +133,7 @@
             val fetchUs = random.nextInt(LONGEST_FETCH_US).toLong()
             tasks[key] = Task(job, index, command.attempt, TaskPhase.FETCHING, null, now + fetchUs + run, now + fetchUs)
         } else {
-            tasks[key] = Task(job, index, command.attempt, TaskPhase.RUNNING, null, now + run)
+            tasks[key] = Task(job, index, command.attempt, TaskPhase.RUNNING, null, now + run, now)
             checker.started(name, job, index, now)
         }
     }
@@ -159,7 +159,7 @@
     ) {
         val ran = task.phase == TaskPhase.RUNNING
         end(task, "halted")
-        if (ran) checker.stopped(task.job, task.index, now)
+        if (ran) checker.stopped(task.job, task.index, now - task.runsFromUs, now)
     }
 
     private fun end(
