--- a/src/test/kotlin/lichenstage/drain/DrainCoreTest.kt
+++ b/src/test/kotlin/lichenstage/drain/DrainCoreTest.kt
@@ -124,6 +124,23 @@
 
     private fun row(task: TaskId) = Interruption(task, 1, "red", InterruptionCause.DRAIN, nowUs)
 
+    @Example
+    fun `a budget that is changed while a drain goes on holds from then on, for what is interrupted already too`() {
+        listOf("m1", "m2", "m3", "m4").forEachIndexed { i, name -> cluster.machine(name, task(i)) }
+        val before = core(DrainPolicy(DisruptionBudget(jobs = 2)))
+        before.asked(listOf(drain(atMost = 4)), machines("m1", "m2", "m3", "m4"))
+        before.go()
+        val first = before.go().interrupted()
+        condition(first.size == 2) { "$first" }
+        first.forEach(cluster::stop)
+        val tighter = core(DrainPolicy(DisruptionBudget(jobs = 1)), before.state)
+        tighter.asked(listOf(drain(atMost = 4)), emptyList())
+        repeat(3) { condition(tighter.go().interrupted().isEmpty()) { "beside two" } }
+        val looser = core(DrainPolicy(DisruptionBudget(jobs = 3)), tighter.state)
+        looser.asked(listOf(drain(atMost = 4)), emptyList())
+        condition(looser.go().interrupted().size == 1) { "not one more" }
+    }
+
     @Example
     fun `tasks near their end, of classes that are never interrupted, and out of hours are waited for`() {
         cluster.machine("m1", task(1, remainingS = 10), task(2, jobClass = "invoices"))
--- a/src/test/kotlin/lichenstage/world/ClusterProfile.kt
+++ b/src/test/kotlin/lichenstage/world/ClusterProfile.kt
@@ -16,6 +16,7 @@
  * @property keepsMachines nobody but operators drains machines
  * @property fetches tasks fetch an image before they run
  * @property drainPolicy what drains may interrupt; null where they are not switched on
+ * @property withoutDrains controllers of a version that does not know drains
  */
 data class ClusterProfile(
     val machinesPerZone: Int = 3,
@@ -30,6 +31,7 @@
     val keepsMachines: Boolean = false,
     val fetches: Boolean = false,
     val drainPolicy: DrainPolicy? = null,
+    val withoutDrains: Set<Int> = emptySet(),
 ) {
     companion object {
         /** Few machines, but all that the protocol allows: frames in pieces, few connections, late messages, machines that come and go. */
--- a/src/test/kotlin/lichenstage/world/DrainFaultsTest.kt
+++ b/src/test/kotlin/lichenstage/world/DrainFaultsTest.kt
@@ -20,9 +20,18 @@
         seed: Long,
         mutation: Mutation = Mutation.NONE,
         policy: DrainPolicy = this.policy,
+        withoutDrains: Set<Int> = emptySet(),
         script: SimulatedCluster.() -> Unit,
     ): SimulatedCluster {
-        val profile = ClusterProfile(machinesPerZone = 4, teamCores = 40.0, machinesComeAndGo = true, fetches = true, drainPolicy = policy)
+        val profile =
+            ClusterProfile(
+                machinesPerZone = 4,
+                teamCores = 40.0,
+                machinesComeAndGo = true,
+                fetches = true,
+                drainPolicy = policy,
+                withoutDrains = withoutDrains,
+            )
         return SimulatedCluster(seed, mutation, profile).apply {
             checker.jobsInterruptible = policy.default.jobs
             repeat(16) { n -> script(SECOND + n * SECOND) { submitLong(n, 150 * SECOND) } }
@@ -34,12 +43,13 @@
     private fun keepsBudgets(
         seeds: LongRange = 1L..SEEDS,
         policy: DrainPolicy = this.policy,
+        withoutDrains: Set<Int> = emptySet(),
         script: SimulatedCluster.() -> Unit,
         check: SimulatedCluster.(Long) -> Unit = { seed -> isOver(seed) },
     ) {
         var interruptions = 0
         for (seed in seeds) {
-            val world = play(seed, policy = policy, script = script)
+            val world = play(seed, policy = policy, withoutDrains = withoutDrains, script = script)
             condition(world.checker.broken.isEmpty()) { "seed $seed: ${world.checker.broken.take(3)}" }
             world.check(seed)
             interruptions += world.checker.interruptions
@@ -94,12 +104,35 @@
             }
         })
 
+    @Example
+    fun `a zone is cut off from the others, one way of its machines and then all of it, while they are emptied`() =
+        keepsBudgets(script = {
+            script(30 * SECOND) { drainAll("all", atMost = 4, replace = true) }
+            script(45 * SECOND) { cutZones("a", "b", 22 * SECOND, held = true) }
+            script(75 * SECOND) { (0..2).forEach { mute(it, 20 * SECOND) } }
+            script(100 * SECOND) {
+                cutZones("a", "b", 25 * SECOND, held = false)
+                cutZones("b", "c", 25 * SECOND, held = false)
+                refuse(2, 25 * SECOND)
+            }
+        })
+
+    /** While it leads nothing is interrupted, and what the others have announced is not forgotten. */
+    @Example
+    fun `a controller of a version without drains leads now and then`() =
+        keepsBudgets(withoutDrains = setOf(1), script = {
+            script(30 * SECOND) { drainAll("all", atMost = 4, replace = false) }
+            repeat(10) { n -> script((36 + 11L * n) * SECOND) { crash(maxOf(leader, 0), (300 + 900L * (n % 3)) * MILLI) } }
+            // What an older version leads on is drained once it has been followed.
+            repeat(10) { n -> script((160 + 40L * n) * SECOND) { if (leader == 1) crash(1, 4 * SECOND) } }
+        })
+
     @Example
     fun `a budget of zero interrupts nothing, and the drain ends with the tasks`() =
         keepsBudgets(
             1L..4L,
             DrainPolicy(DisruptionBudget(jobs = 0)),
-            { script(30 * SECOND) { drainAll("all", atMost = 12, replace = false) } },
+            script = { script(30 * SECOND) { drainAll("all", atMost = 12, replace = false) } },
         ) { seed ->
             condition(checker.interruptions == 0) { "seed $seed: ${checker.interruptions} interrupted" }
             condition(drain("all").status == DrainStatus.FINISHED) { "seed $seed: ${stages("all")}" }
--- a/src/test/kotlin/lichenstage/world/SeedSweep.kt
+++ b/src/test/kotlin/lichenstage/world/SeedSweep.kt
@@ -1,22 +1,27 @@
 package lichenstage.world
 
+import lichenstage.app.SECOND
+import lichenstage.drain.DisruptionBudget
+import lichenstage.drain.DrainPolicy
 import java.util.concurrent.Executors
 import java.util.concurrent.TimeUnit
 import java.util.concurrent.atomic.AtomicLong
 
 private const val FAULTS_US = 120_000_000L
 private const val CALM_US = 420_000_000L
+private const val DRAINED_CALM_US = 1_500_000_000L
 
 /**
- * The long form of [SimulatedClusterTest], run by hand: `SeedSweepKt PROFILE FIRST COUNT [THREADS]`. Prints each seed that
- * breaks a rule, or that leaves work undone, and closes with how many were played.
+ * The long form of [SimulatedClusterTest] and [DrainFaultsTest], run by hand: `SeedSweepKt small|unkind|large|drains FIRST COUNT [THREADS]`.
+ * Prints each seed that breaks a rule, or that leaves work undone, and closes with how many were played.
  */
 fun main(args: Array<String>) {
-    val profile =
+    val play =
         when (args[0]) {
-            "small" -> ClusterProfile()
-            "unkind" -> ClusterProfile.UNKIND
-            else -> ClusterProfile.LARGE
+            "small" -> { seed -> played(seed, ClusterProfile()) }
+            "unkind" -> { seed -> played(seed, ClusterProfile.UNKIND) }
+            "large" -> { seed -> played(seed, ClusterProfile.LARGE) }
+            else -> ::drained
         }
     val first = args[1].toLong()
     val count = args[2].toLong()
@@ -25,12 +30,10 @@
     val failed = AtomicLong()
     for (seed in first until first + count) {
         executor.execute {
-            val world = SimulatedCluster(seed, profile = profile)
-            world.run(FAULTS_US, CALM_US)
+            val world = play(seed)
             if (world.checker.broken.isNotEmpty() || world.openJobs.isNotEmpty()) {
                 failed.incrementAndGet()
                 println("seed $seed: ${world.checker.broken.take(2)} unfinished ${world.openJobs}")
-                if (world.checker.broken.isEmpty() && profile != ClusterProfile.LARGE) println(world.describe())
             }
         }
     }
@@ -38,3 +41,21 @@
     executor.awaitTermination(1, TimeUnit.HOURS)
     println("$count seeds from $first: $failed failed")
 }
+
+private fun played(
+    seed: Long,
+    profile: ClusterProfile,
+) = SimulatedCluster(seed, profile = profile).apply { run(FAULTS_US, CALM_US) }
+
+/** A drain of every machine under the conditions of [ClusterProfile.UNKIND], with one controller of a version without drains. */
+private fun drained(seed: Long): SimulatedCluster {
+    val policy = DrainPolicy(DisruptionBudget(jobs = 1 + (seed % 3).toInt()))
+    val profile = ClusterProfile.UNKIND.copy(teamCores = 60.0, drainPolicy = policy, withoutDrains = setOf((seed % 6).toInt()))
+    return SimulatedCluster(seed, profile = profile).apply {
+        checker.jobsInterruptible = policy.default.jobs
+        repeat(18) { n -> script(SECOND + n * SECOND) { submitLong(n, 120 * SECOND) } }
+        script(30 * SECOND) { drainAll("all", atMost = 1 + (seed % 5).toInt(), replace = seed % 2 == 0L) }
+        repeat(12) { n -> script((32 + 7L * n) * SECOND) { drawFault() } }
+        run(FAULTS_US, DRAINED_CALM_US)
+    }
+}
--- a/src/test/kotlin/lichenstage/world/SimulatedLeadership.kt
+++ b/src/test/kotlin/lichenstage/world/SimulatedLeadership.kt
@@ -92,7 +92,8 @@
         if (mutation != Mutation.REGISTRY_LOST) begun.inherited(machines.registry.all().map(machines::inherited))
         leader = begun
         fleet = SimulatedFleet(begun, machines.registry, site(term), context.random, context.profile.keepsMachines)
-        drains = context.profile.drainPolicy?.let { SimulatedDrains(begun, it, context, state, machines, fleet!!, site(term)) }
+        val policy = context.profile.drainPolicy.takeIf { controller.id !in context.profile.withoutDrains }
+        drains = policy?.let { SimulatedDrains(begun, it, context, state, machines, fleet!!, site(term)) }
         seenJobs.clear()
         state.open.values.forEach { addJob(begun, it) }
         return begun
