--- a/src/main/kotlin/lichenstage/placement/LeaderActor.kt
+++ b/src/main/kotlin/lichenstage/placement/LeaderActor.kt
@@ -21,10 +21,7 @@
 import lichenstage.drain.DrainRecords
 import lichenstage.drain.DrainStore
 import lichenstage.drain.DrainTracing
-import lichenstage.drain.Interruption
-import lichenstage.drain.InterruptionCause
 import lichenstage.drain.RunningTask
-import lichenstage.drain.TaskId
 import lichenstage.fleet.Catalog
 import lichenstage.fleet.CloudClient
 import lichenstage.fleet.FleetPolicy
@@ -113,7 +110,7 @@
     ): DrainDriver {
         val view = LeaderDrainView(core, clock::now)
         val access = DrainStore(state, owned, mapOf(Authority.LEADER to stamp), settings.txnOps, state::scan)
-        core.taskStopped = { drains?.taskStopped(interruptionOf(it)) }
+        core.taskStopped = { drains?.taskStopped(LeaderDrainView.failure(it, timeOfDayUs())) }
         return DrainDriver(policy, view, DrainRecords(settings.valueBytes), access, hands(view), DrainTracing(), scope) {
             mailbox.tell(LeaderMessage.OfDrains(it))
         }
@@ -128,15 +125,6 @@
             override fun giveBack(machine: String) = fleet.giveBack(machine)
         }
 
-    private fun interruptionOf(attempt: Attempt) =
-        Interruption(
-            TaskId(attempt.job.spec.id, attempt.index),
-            attempt.number,
-            attempt.job.spec.team,
-            InterruptionCause.FAILURE,
-            timeOfDayUs(),
-        )
-
     /** How many jobs are open, for the metrics. */
     val openJobs get() = core.jobs.size
 
--- a/src/main/kotlin/lichenstage/placement/LeaderDrainView.kt
+++ b/src/main/kotlin/lichenstage/placement/LeaderDrainView.kt
@@ -2,6 +2,8 @@
 
 import lichenstage.cluster.TaskPhase
 import lichenstage.drain.DrainView
+import lichenstage.drain.Interruption
+import lichenstage.drain.InterruptionCause
 import lichenstage.drain.MachineCondition
 import lichenstage.drain.RunningTask
 import lichenstage.drain.TaskId
@@ -72,4 +74,18 @@
                 ?.get(wanted.task.index)
                 ?.takeIf { it.number == wanted.attempt }
         }
+
+    companion object {
+        /** An attempt that ran does not any more, and not for a drain. */
+        fun failure(
+            attempt: Attempt,
+            atUs: Long,
+        ) = Interruption(
+            TaskId(attempt.job.spec.id, attempt.index),
+            attempt.number,
+            attempt.job.spec.team,
+            InterruptionCause.FAILURE,
+            atUs,
+        )
+    }
 }
--- a/src/test/kotlin/lichenstage/standin/DrainCheck.kt
+++ b/src/test/kotlin/lichenstage/standin/DrainCheck.kt
@@ -5,11 +5,6 @@
 import io.vertx.core.json.JsonArray
 import io.vertx.core.json.JsonObject
 import java.io.File
-import java.net.URI
-import java.net.http.HttpClient
-import java.net.http.HttpRequest
-import java.net.http.HttpResponse
-import java.time.Duration
 import java.util.Random
 import java.util.concurrent.TimeUnit
 import kotlin.system.exitProcess
@@ -83,7 +78,7 @@
             deleteRecursively()
             mkdirs()
         }
-    private val http = HttpClient.newBuilder().connectTimeout(Duration.ofSeconds(2)).build()
+    private val client = ControllerClient(deployment)
     private val observer = InterruptionObserver()
     private val processes = HashMap<Int, Process>()
     private val workers = ArrayList<WorkerStandIn>()
@@ -127,7 +122,7 @@
         cloud.start()
         cloud.stock(MACHINES)
         deployment.zones.indices.forEach(::launch)
-        check("all become healthy") { eventually(60) { deployment.zones.indices.all { status(it, "GET", "/healthz") == 200 } } }
+        check("all become healthy") { eventually(60) { deployment.zones.indices.all { client.status(it, "GET", "/healthz") == 200 } } }
         repeat(MACHINES) { submit() }
         check("tasks run on every machine") { eventually(60) { observer.runningTasks() >= MACHINES } }
     }
@@ -176,7 +171,7 @@
     private fun submit() {
         val id = jobs++
         val job = submission(id, 2, InterruptionObserver.teamOf("j-$id/0"), guessS = RUN_MS / 1000.0).put("cores", 8.0)
-        deployment.zones.indices.any { status(it, "POST", "/api/jobs", job.encode()) in 200..201 }
+        deployment.zones.indices.any { client.status(it, "POST", "/api/jobs", job.encode()) in 200..201 }
     }
 
     private fun check(
@@ -231,20 +226,6 @@
             ).put("cloud", JsonObject().put("rps", 8.0).put("list_lag_s", 1.0))
     }
 
-    private fun status(
-        node: Int,
-        method: String,
-        path: String,
-        body: String? = null,
-    ): Int =
-        try {
-            val publisher = if (body == null) HttpRequest.BodyPublishers.noBody() else HttpRequest.BodyPublishers.ofString(body)
-            val request = HttpRequest.newBuilder(URI("http://127.0.0.1:${deployment.serve[node]}$path")).timeout(Duration.ofSeconds(5))
-            http.send(request.method(method, publisher).build(), HttpResponse.BodyHandlers.ofString()).statusCode()
-        } catch (_: java.io.IOException) {
-            0
-        }
-
     private companion object {
         const val NAME = "all-out"
         const val BUDGET = 1
--- a/src/test/kotlin/lichenstage/standin/Smoke.kt
+++ b/src/test/kotlin/lichenstage/standin/Smoke.kt
@@ -5,11 +5,6 @@
 import io.vertx.core.json.JsonArray
 import io.vertx.core.json.JsonObject
 import java.io.File
-import java.net.URI
-import java.net.http.HttpClient
-import java.net.http.HttpRequest
-import java.net.http.HttpResponse
-import java.time.Duration
 import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.TimeUnit
 import kotlin.system.exitProcess
@@ -42,7 +37,7 @@
             deleteRecursively()
             mkdirs()
         }
-    private val http = HttpClient.newBuilder().connectTimeout(Duration.ofSeconds(2)).build()
+    private val client = ControllerClient(deployment)
     private val running = ConcurrentHashMap<String, MutableSet<String>>()
     private val twice = ConcurrentHashMap.newKeySet<String>()
     private val processes = HashMap<Int, Process>()
@@ -197,39 +192,18 @@
         team: String = "red",
     ) = submission(id, tasks, team, guessS = 1.0).encode()
 
-    private fun answer(
-        node: Int,
-        method: String,
-        path: String,
-        body: String?,
-    ): HttpResponse<String>? =
-        try {
-            val publisher = if (body == null) HttpRequest.BodyPublishers.noBody() else HttpRequest.BodyPublishers.ofString(body)
-            val uri = URI("http://127.0.0.1:${deployment.serve[node]}$path")
-            http.send(
-                HttpRequest
-                    .newBuilder(uri)
-                    .timeout(Duration.ofSeconds(5))
-                    .method(method, publisher)
-                    .build(),
-                HttpResponse.BodyHandlers.ofString(),
-            )
-        } catch (_: java.io.IOException) {
-            null
-        }
-
     private fun status(
         node: Int,
         method: String,
         path: String,
         body: String? = null,
-    ) = answer(node, method, path, body)?.statusCode() ?: 0
+    ) = client.status(node, method, path, body)
 
     private fun state(
         node: Int,
         id: Int,
     ): String? =
-        answer(node, "GET", "/api/jobs/j-$id", null)?.takeIf { it.statusCode() == 200 }?.let { JsonObject(it.body()).getString("status") }
+        client.answer(node, "GET", "/api/jobs/j-$id")?.takeIf { it.statusCode() == 200 }?.let { JsonObject(it.body()).getString("status") }
 
     private companion object {
         val LEVELS = listOf("debug", "info", "error")
--- a/src/test/kotlin/lichenstage/world/SimulatedDrains.kt
+++ b/src/test/kotlin/lichenstage/world/SimulatedDrains.kt
@@ -7,11 +7,8 @@
 import lichenstage.drain.DrainState
 import lichenstage.drain.DrainStatus
 import lichenstage.drain.DrainView
-import lichenstage.drain.Interruption
-import lichenstage.drain.InterruptionCause
 import lichenstage.drain.TaskId
 import lichenstage.drain.TaskStanding
-import lichenstage.placement.Attempt
 import lichenstage.placement.LeaderCore
 import lichenstage.placement.LeaderDrainView
 
@@ -53,18 +50,9 @@
     private var steppedUs = 0L
 
     init {
-        leader.taskStopped = { core.lost(interruptionOf(it)) }
+        leader.taskStopped = { core.lost(LeaderDrainView.failure(it, context.now)) }
     }
 
-    private fun interruptionOf(attempt: Attempt) =
-        Interruption(
-            TaskId(attempt.job.spec.id, attempt.index),
-            attempt.number,
-            attempt.job.spec.team,
-            InterruptionCause.FAILURE,
-            context.now,
-        )
-
     fun step() {
         if (context.now - steppedUs < SECOND) return
         steppedUs = context.now
