--- a/src/test/kotlin/lichenstage/world/SimulatedClusterTest.kt
+++ b/src/test/kotlin/lichenstage/world/SimulatedClusterTest.kt
@@ -6,28 +6,25 @@
 /** Several controllers' decisions under seeded troubles keep every rule, and all work gets done in the end. */
 class SimulatedClusterTest {
     @Example
-    fun rulesHoldUnderTroubles() {
-        for (seed in 1L..SEEDS) {
-            val world = SimulatedCluster(seed)
-            world.run(FAULTS_US, CALM_US)
-            condition(world.checker.broken.isEmpty()) { "seed $seed: ${world.checker.broken.take(3)}" }
-            condition(world.checker.starts > 20) { "seed $seed: only ${world.checker.starts} starts" }
-            condition(world.openJobs.isEmpty()) { "seed $seed: never finished: ${world.openJobs}\n${world.describe()}" }
-        }
-        println("world seeds 1..$SEEDS kept the rules")
-    }
+    fun rulesHoldUnderTroubles() = rulesHold(SEEDS, ClusterProfile(), CALM_US)
 
-    /** All that the protocol allows of messages, frames, connections and machines; [ClusterProfile.LARGE] is played by [SeedSweep]. */
+    /** All that the protocol allows of messages, frames, connections and machines; [ClusterProfile.LARGE] is played by `SeedSweep`. */
     @Example
-    fun rulesHoldUnderUnkindConditions() {
-        for (seed in 1L..UNKIND_SEEDS) {
-            val world = SimulatedCluster(seed, profile = ClusterProfile.UNKIND)
-            world.run(FAULTS_US, UNKIND_CALM_US)
+    fun rulesHoldUnderUnkindConditions() = rulesHold(UNKIND_SEEDS, ClusterProfile.UNKIND, UNKIND_CALM_US)
+
+    private fun rulesHold(
+        seeds: Long,
+        profile: ClusterProfile,
+        calmUs: Long,
+    ) {
+        for (seed in 1L..seeds) {
+            val world = SimulatedCluster(seed, profile = profile)
+            world.run(FAULTS_US, calmUs)
             condition(world.checker.broken.isEmpty()) { "seed $seed: ${world.checker.broken.take(3)}" }
             condition(world.checker.starts > 20) { "seed $seed: only ${world.checker.starts} starts" }
             condition(world.openJobs.isEmpty()) { "seed $seed: never finished: ${world.openJobs}\n${world.describe()}" }
         }
-        println("unkind world seeds 1..$UNKIND_SEEDS kept the rules")
+        println("world seeds 1..$seeds kept the rules")
     }
 
     /** One seed of the size at which users saw a rule broken. */
