--- a/src/main/kotlin/lichenstage/drain/DisruptionBudget.kt
+++ b/src/main/kotlin/lichenstage/drain/DisruptionBudget.kt
@@ -47,7 +47,7 @@
  */
 class BudgetCheck(
     private val policy: DrainPolicy,
-    private val running: Map<String, Int>,
+    running: Map<String, Int>,
     private val hour: Int,
     interruptions: Collection<Interruption>,
 ) {
--- a/src/main/kotlin/lichenstage/drain/DrainCommand.kt
+++ b/src/main/kotlin/lichenstage/drain/DrainCommand.kt
@@ -7,6 +7,7 @@
 import kotlinx.coroutines.runBlocking
 import kotlinx.coroutines.withContext
 import lichenstage.app.Clock
+import lichenstage.app.SECOND
 import lichenstage.app.Settings
 import lichenstage.app.SettingsError
 import lichenstage.app.timeOfDayUs
@@ -187,7 +188,7 @@
             selection,
             replace = parsed.hasMatchedOption("--replace"),
             atMost = parsed.matchedOptionValue<Int?>("--at-most", null) ?: 1,
-            deadlineUs = deadlineS?.let { timeOfDayUs() + DrainReport.seconds(it) },
+            deadlineUs = deadlineS?.let { timeOfDayUs() + it * SECOND },
             dryRun = parsed.hasMatchedOption("--dry-run"),
         )
     }
--- a/src/main/kotlin/lichenstage/drain/DrainCore.kt
+++ b/src/main/kotlin/lichenstage/drain/DrainCore.kt
@@ -38,7 +38,7 @@
     private val ending = HashSet<String>()
 
     /** What has happened besides, to be recorded with the next step. */
-    private var lost = ArrayList<Interruption>()
+    private val lost = ArrayList<Interruption>()
     private val hired = HashMap<DrainKey, String>()
 
     /** Some drain goes on. */
@@ -89,7 +89,7 @@
         hired[key] = machine
     }
 
-    /** Where nothing is under way and something changes, the state to be recorded before anything else is done. */
+    /** The next state, to be recorded before anything else is done; null while one is being recorded, or nothing is to be done. */
     fun step(
         nowUs: Long,
         hour: Int,
@@ -110,11 +110,8 @@
         for ((key, name) in hired) machines[key]?.let { machines = machines.put(key, it.copy(replacement = name, sinceUs = nowUs)) }
         var interruptions = before.interruptions
         for (row in lost) {
-            if (row.task !in interruptions &&
-                interruptions.size < mostInterruptions
-            ) {
-                interruptions = interruptions.put(row.task, row)
-            }
+            val isNew = row.task !in interruptions
+            if (isNew && interruptions.size < mostInterruptions) interruptions = interruptions.put(row.task, row)
         }
         return DrainState(machines, interruptions)
     }
--- a/src/main/kotlin/lichenstage/drain/DrainDriver.kt
+++ b/src/main/kotlin/lichenstage/drain/DrainDriver.kt
@@ -18,9 +18,9 @@
 
 /** What the driver of drains is told by what it has set going. */
 sealed interface DrainMessage {
-    /** All records, read whole. */
+    /** All records, read whole; null where they could not be. */
     data class Read(
-        val entries: List<Entry>,
+        val entries: List<Entry>?,
     ) : DrainMessage
 
     /** The state of the last step is recorded, or not. */
@@ -119,8 +119,7 @@
         reading = true
         readUs = now
         scope.launch {
-            val scan = access.scan(DrainRecords.PREFIX)
-            tell(DrainMessage.Read(scan?.entries ?: NOT_READ))
+            tell(DrainMessage.Read(access.scan(DrainRecords.PREFIX)?.entries))
         }
     }
 
@@ -172,7 +171,7 @@
         when (message) {
             is DrainMessage.Read -> {
                 reading = false
-                if (message.entries !== NOT_READ) take(message.entries)
+                message.entries?.let(::take)
             }
 
             is DrainMessage.Recorded -> {
@@ -231,8 +230,7 @@
     ): Drain? {
         val name = entry.key.removePrefix(DrainRecords.DRAINS)
         stamps[entry.key] = entry.stamp
-        val names = machines[name]?.map { it.name } ?: return null
-        return readable(entry) { records.decodeDrain(it, names) }
+        return if (name in machines) readable(entry) { records.decodeDrain(it) } else null
     }
 
     private fun <T : Any> readable(
@@ -250,6 +248,5 @@
         const val READ_US = 2 * SECOND
         const val STEP_US = SECOND
         const val RETRY_MS = 300L
-        val NOT_READ = ArrayList<Entry>()
     }
 }
--- a/src/main/kotlin/lichenstage/drain/DrainOperations.kt
+++ b/src/main/kotlin/lichenstage/drain/DrainOperations.kt
@@ -94,7 +94,7 @@
         request: DrainRequest,
         entry: Entry,
     ): DrainAnswer {
-        val asked = records.decodeDrain(entry, emptyList())
+        val asked = records.decodeDrain(entry)
         if (asked.replace != request.replace || asked.atMost != request.atMost) {
             throw CantBeDone("${request.name}: there is a drain of this name with other options")
         }
@@ -161,13 +161,12 @@
         val changes = pages.map { Change.Put(it.key, it.value) } + (stamps.keys - pages.keys).map { Change.Delete(it) }
         val drainKey = DrainRecords.DRAINS + request.name
         for (part in changes.chunked(settings.txnOps)) {
-            val guards = part.associate { keyOf(it) to (stamps[keyOf(it)] ?: 0L) } + (drainKey to 0L)
+            val guards = part.associate { it.key to (stamps[it.key] ?: 0L) } + (drainKey to 0L)
             commit(guards, part)
         }
         val drain =
             Drain(
                 request.name,
-                machines.map { it.name },
                 request.replace,
                 request.atMost,
                 DrainStatus.RUNNING,
@@ -179,12 +178,6 @@
         return shown(request.name)
     }
 
-    private fun keyOf(change: Change) =
-        when (change) {
-            is Change.Put -> change.key
-            is Change.Delete -> change.key
-        }
-
     /** All drains, or the one of a [name]. */
     suspend fun show(name: String?): DrainAnswer = answering { shown(name) }
 
@@ -194,7 +187,7 @@
         if (entries.isEmpty() && name != null) throw CantBeDone("$name: there is no such drain")
         val pages = all.filter { it.key.startsWith(DrainRecords.MACHINES) }
         val state = records.decodeState(pages, all.filter { it.key.startsWith(DrainRecords.INTERRUPTIONS) })
-        return DrainAnswer.Shown(entries.map { DrainReport.of(records.decodeDrain(it, emptyList()), state, timeOfDayUs()) })
+        return DrainAnswer.Shown(entries.map { DrainReport.of(records.decodeDrain(it), state, timeOfDayUs()) })
     }
 
     /** Has a drain pause, go on or end. */
@@ -214,7 +207,7 @@
         entry: Entry,
         status: DrainStatus,
     ): DrainAnswer {
-        val drain = records.decodeDrain(entry, emptyList())
+        val drain = records.decodeDrain(entry)
         val isOver = drain.status == DrainStatus.FINISHED || drain.status == DrainStatus.CANCELLED
         if (isOver && drain.status != status) throw CantBeDone("${drain.name}: it is ${drain.status.name.lowercase()}")
         if (drain.status != status) {
--- a/src/main/kotlin/lichenstage/drain/DrainPlan.kt
+++ b/src/main/kotlin/lichenstage/drain/DrainPlan.kt
@@ -166,7 +166,7 @@
     private fun begunBy(drains: List<Drain>): Set<String> {
         val names = drains.mapTo(HashSet()) { it.name }
         return state.machines.values
-            .filter { it.drain in names && it.stage != Stage.WAITING && !it.stage.isOver }
+            .filter { it.drain in names && it.stage.isUnderWay }
             .mapTo(HashSet()) { it.name }
     }
 
@@ -176,7 +176,7 @@
         begun: Set<String>,
     ) {
         val all = machinesOf(drain)
-        val free = drain.atMost - all.count { it.stage != Stage.WAITING && !it.stage.isOver }
+        val free = drain.atMost - all.count { it.stage.isUnderWay }
         if (free <= 0) return
         val waiting = all.filter { it.stage == Stage.WAITING && it.name !in begun && view.condition(it.name) == MachineCondition.UP }
         waiting.sortedWith(order()).take(free).forEach { machine ->
--- a/src/main/kotlin/lichenstage/drain/DrainRecords.kt
+++ b/src/main/kotlin/lichenstage/drain/DrainRecords.kt
@@ -39,15 +39,11 @@
                 if (drain.deadlineUs != null) put("deadline", drain.deadlineUs)
             }
 
-    /** The drain of a record, with its machines as the other records name them. */
-    fun decodeDrain(
-        entry: Entry,
-        machines: List<String>,
-    ): Drain =
+    /** The drain of a record. */
+    fun decodeDrain(entry: Entry): Drain =
         reading(entry) {
             Drain(
                 name = entry.key.removePrefix(DRAINS),
-                machines = machines,
                 replace = it.getBoolean("replace")!!,
                 atMost = it.getInteger("at_most")!!,
                 status = DrainStatus.valueOf(it.getString("status")),
--- a/src/main/kotlin/lichenstage/drain/DrainReport.kt
+++ b/src/main/kotlin/lichenstage/drain/DrainReport.kt
@@ -4,7 +4,6 @@
 import io.vertx.core.json.JsonObject
 import lichenstage.app.SECOND
 import java.time.Instant
-import java.util.concurrent.TimeUnit
 
 /** How a drain stands, for people and programs. */
 data class DrainReport(
@@ -75,9 +74,9 @@
                     .filter { it.drain == drain.name }
                     .sortedBy { it.name }
             return DrainReport(
-                drain.copy(machines = machines.map { it.name }),
+                drain,
                 machines.groupingBy { it.stage }.eachCount().toSortedMap(),
-                machines.filter { it.stage != Stage.WAITING && !it.stage.isOver },
+                machines.filter { it.stage.isUnderWay },
                 state.interruptions.values
                     .groupBy { it.team }
                     .toSortedMap(),
@@ -116,8 +115,5 @@
                 ) + lines
             ).joinToString("\n")
         }
-
-        /** A duration on the command line, as microseconds. */
-        fun seconds(text: Long) = TimeUnit.SECONDS.toMicros(text)
     }
 }
--- a/src/main/kotlin/lichenstage/drain/DrainTypes.kt
+++ b/src/main/kotlin/lichenstage/drain/DrainTypes.kt
@@ -13,10 +13,9 @@
     FINISHED,
 }
 
-/** A drain as it was asked for. [machines] is fixed when it is asked for: machines that come up later are not drained. */
+/** A drain as it was asked for. Its machines ([DrainState]) are fixed then: those that come up later are not drained. */
 data class Drain(
     val name: String,
-    val machines: List<String>,
     /** Each machine is followed by a fresh one of its type, zone and kind, which has proven itself before the old one is emptied. */
     val replace: Boolean,
     /** Machines that are on their way out at once, at the most. */
@@ -57,6 +56,9 @@
 
     val isOver get() = this >= GONE
 
+    /** Something is being done with it. */
+    val isUnderWay get() = this != WAITING && !isOver
+
     /** It takes no tasks. */
     val isCordoned get() = this == CORDONED || this == EMPTYING || this == EMPTIED
 }
--- a/src/main/kotlin/lichenstage/placement/CheckpointStops.kt
+++ b/src/main/kotlin/lichenstage/placement/CheckpointStops.kt
@@ -89,8 +89,11 @@
 
     private fun canSave(attempt: Attempt) = attempt.job.spec.checkpointUs > 0 && attempt.phase == TaskPhase.RUNNING
 
-    /** Estimates are often wrong by half: a task that has run for longer than expected goes on for a good part of that. */
-    private fun remainingUs(
+    /**
+     * How long the attempt is expected to go on. Estimates are often wrong by half: a task that has run for longer than expected goes on
+     * for a good part of that.
+     */
+    fun remainingUs(
         attempt: Attempt,
         now: Long,
     ): Long {
@@ -118,12 +121,6 @@
         requested.remove(attempt.number)
     }
 
-    /** How long the attempt is expected to go on. */
-    fun expectedUs(
-        attempt: Attempt,
-        now: Long,
-    ) = remainingUs(attempt, now)
-
     private companion object {
         /** Beside the time to save: the least with which saving is expected to succeed. */
         const val LEAST_MARGIN_US = SECOND
--- a/src/main/kotlin/lichenstage/placement/FleetDriver.kt
+++ b/src/main/kotlin/lichenstage/placement/FleetDriver.kt
@@ -36,6 +36,9 @@
     private val log = LoggerFactory.getLogger("lichenstage.placement")
     private val forecast = DemandForecast(now)
     private val fleet = FleetCore(core.term, policy, forecast)
+
+    /** For which machine of a drain a hire was requested, by the request's id. */
+    private val requested = HashMap<String, DrainKey>()
     private var calling = false
     private var calledUs = Long.MIN_VALUE / 2
     private var askedUs = Long.MIN_VALUE / 2
@@ -95,14 +98,13 @@
     fun hireLike(key: DrainKey) {
         val machine = core.machine(key.machine) ?: return
         val zone = core.zoneOf(key.machine) ?: return
-        requested["${key.drain} ${key.machine}"] = key
-        fleet.request(RequestedHire("${key.drain} ${key.machine}", machine.typeName, zone, machine.spot))
+        val id = "${key.drain} ${key.machine}"
+        requested[id] = key
+        fleet.request(RequestedHire(id, machine.typeName, zone, machine.spot))
     }
 
     fun giveBack(machine: String) = fleet.fence(listOf(machine))
 
-    private val requested = HashMap<String, DrainKey>()
-
     private fun statusOfMachines(): (String) -> MachineStatus? {
         val states =
             core.partitions.values
--- a/src/main/kotlin/lichenstage/placement/LeaderCore.kt
+++ b/src/main/kotlin/lichenstage/placement/LeaderCore.kt
@@ -196,10 +196,10 @@
     fun interrupt(interrupted: Collection<Attempt>) = checkpointStops.request(interrupted)
 
     /** How long an attempt is expected to go on. */
-    fun expectedUs(
+    fun remainingUs(
         attempt: Attempt,
         now: Long,
-    ) = checkpointStops.expectedUs(attempt, now)
+    ) = checkpointStops.remainingUs(attempt, now)
 
     /** The machine is proven gone. */
     fun isRetired(machine: String) = directory.isRetired(machine)
--- a/src/main/kotlin/lichenstage/placement/LeaderDrainView.kt
+++ b/src/main/kotlin/lichenstage/placement/LeaderDrainView.kt
@@ -49,7 +49,7 @@
             spec.team,
             spec.kind,
             running = attempt.phase == TaskPhase.RUNNING,
-            remainingUs = core.expectedUs(attempt, now()),
+            remainingUs = core.remainingUs(attempt, now()),
             lostUs = if (spec.checkpointUs > 0) spec.saveUs else attempt.progressUs(now()),
         )
     }
--- a/src/main/kotlin/lichenstage/state/OwnedKeys.kt
+++ b/src/main/kotlin/lichenstage/state/OwnedKeys.kt
@@ -24,11 +24,11 @@
         changes: List<Change>,
         urgent: Boolean,
     ): Boolean {
-        val keys = changes.map(::keyOf)
+        val keys = changes.map { it.key }
         for (key in keys) if (key in unsure && !reread(key)) return false
         val outcome = state.txn(guards + keys.associateWith { stamps[it] ?: 0L }, changes, urgent = urgent)
         if (outcome is Committed.Yes) {
-            changes.forEach { if (it is Change.Put) stamps[it.key] = outcome.revision else stamps.remove(keyOf(it)) }
+            changes.forEach { if (it is Change.Put) stamps[it.key] = outcome.revision else stamps.remove(it.key) }
         } else if (outcome !is Committed.NotExecuted) {
             unsure += keys
         }
@@ -44,10 +44,4 @@
         unsure -= key
         return true
     }
-
-    private fun keyOf(change: Change) =
-        when (change) {
-            is Change.Put -> change.key
-            is Change.Delete -> change.key
-        }
 }
--- a/src/main/kotlin/lichenstage/state/StateClient.kt
+++ b/src/main/kotlin/lichenstage/state/StateClient.kt
@@ -20,16 +20,18 @@
 
 /** One change within a transaction. */
 sealed interface Change {
+    val key: String
+
     /** Write a key. */
     data class Put(
-        val key: String,
+        override val key: String,
         val value: JsonObject,
         val lease: Long? = null,
     ) : Change
 
     /** Delete a key. */
     data class Delete(
-        val key: String,
+        override val key: String,
     ) : Change
 }
 
--- a/src/test/kotlin/lichenstage/drain/DrainCoreTest.kt
+++ b/src/test/kotlin/lichenstage/drain/DrainCoreTest.kt
@@ -25,7 +25,7 @@
         replace: Boolean = false,
         status: DrainStatus = DrainStatus.RUNNING,
         askedUs: Long = 0,
-    ) = Drain(name, emptyList(), replace, atMost, status, null, askedUs, null)
+    ) = Drain(name, replace, atMost, status, null, askedUs, null)
 
     private fun machines(
         vararg names: String,
--- a/src/test/kotlin/lichenstage/drain/DrainDriverTest.kt
+++ b/src/test/kotlin/lichenstage/drain/DrainDriverTest.kt
@@ -76,7 +76,7 @@
         vararg machines: String,
     ) {
         val rows = machines.map { DrainedMachine(it, name, Stage.WAITING, 0) }
-        val drain = Drain(name, machines.toList(), false, 10, DrainStatus.RUNNING, null, 0, null)
+        val drain = Drain(name, false, 10, DrainStatus.RUNNING, null, 0, null)
         val pages = records.encodeMachines(name, rows).map { Change.Put(it.key, it.value) }
         store.apply(emptyMap(), pages + Change.Put(DrainRecords.DRAINS + name, records.encode(drain)))
     }
@@ -168,7 +168,7 @@
         second.run(4)
         condition(second.cordoned == setOf("m1")) { "a new leader has forgotten it" }
         val entry = store.entries.getValue(DrainRecords.DRAINS + "d")
-        val paused = records.decodeDrain(entry, listOf("m1")).copy(status = DrainStatus.PAUSED)
+        val paused = records.decodeDrain(entry).copy(status = DrainStatus.PAUSED)
         store.apply(emptyMap(), listOf(Change.Put(entry.key, records.encode(paused))))
         second.run(4)
         condition(second.cordoned.isEmpty()) { "still cordoned" }
--- a/src/test/kotlin/lichenstage/drain/DrainOperationsTest.kt
+++ b/src/test/kotlin/lichenstage/drain/DrainOperationsTest.kt
@@ -153,7 +153,7 @@
 
     @Example
     fun `a deadline that can't be kept is said`() {
-        val drain = Drain("d", emptyList(), false, 1, DrainStatus.RUNNING, null, 0, 100 * SECOND)
+        val drain = Drain("d", false, 1, DrainStatus.RUNNING, null, 0, 100 * SECOND)
         val rows = (1..10).map { DrainedMachine("m$it", "d", if (it <= 2) Stage.GONE else Stage.WAITING, 0) }
         val state = DrainState().let { it.copy(machines = it.machines.putAll(rows.associateBy { row -> row.key })) }
         condition(!DrainReport.of(drain, state, 10 * SECOND).isLate) { "5 s a machine leave time" }
--- a/src/test/kotlin/lichenstage/drain/DrainRecordsTest.kt
+++ b/src/test/kotlin/lichenstage/drain/DrainRecordsTest.kt
@@ -75,11 +75,11 @@
     @Example
     fun `a record that can't be read or is of a later form is told with its key`() {
         val records = DrainRecords(8_192)
-        val drain = Drain("d", listOf("m"), true, 3, DrainStatus.PAUSED, "why", 5, 9)
+        val drain = Drain("d", true, 3, DrainStatus.PAUSED, "why", 5, 9)
         val entry = Entry(DrainRecords.DRAINS + "d", records.encode(drain), 1)
-        condition(records.decodeDrain(entry, listOf("m")) == drain) { "${records.decodeDrain(entry, listOf("m"))}" }
+        condition(records.decodeDrain(entry) == drain) { "${records.decodeDrain(entry)}" }
         for (wrong in listOf(JsonObject(), records.encode(drain).put("form", 2), records.encode(drain).put("status", "DANCING"))) {
-            val complaint = runCatching { records.decodeDrain(Entry(entry.key, wrong, 1), emptyList()) }.exceptionOrNull()
+            val complaint = runCatching { records.decodeDrain(Entry(entry.key, wrong, 1)) }.exceptionOrNull()
             condition(complaint is UnreadableRecord && complaint.message!!.startsWith(entry.key)) { "$wrong: $complaint" }
         }
         val page =
--- a/src/test/kotlin/lichenstage/standin/Deployment.kt
+++ b/src/test/kotlin/lichenstage/standin/Deployment.kt
@@ -50,3 +50,17 @@
             )
     }
 }
+
+/** The fields of `settings` for a few machines, with the limit in cores of each team. */
+internal fun smallLimits(vararg teams: Pair<String, Double>): JsonObject =
+    JsonObject()
+        .put("teams", JsonArray(teams.map { (name, cores) -> JsonObject().put("name", name).put("cpus", 0.0).put("cpus_max", cores) }))
+        .put("workers", JsonObject().put("report_s", 1.0).put("lease_s", 20.0).put("cancel_s", 40.0))
+        .put(
+            "state",
+            JsonObject()
+                .put("rps", 300.0)
+                .put("write_rps", 150.0)
+                .put("value_kb", 8.0)
+                .put("txn_ops", 12),
+        ).put("cloud", JsonObject().put("rps", 8.0).put("list_lag_s", 1.0))
--- a/src/test/kotlin/lichenstage/standin/DrainCheck.kt
+++ b/src/test/kotlin/lichenstage/standin/DrainCheck.kt
@@ -183,18 +183,6 @@
         if (ok) passed++ else failed++
     }
 
-    private fun eventually(
-        withinS: Long,
-        test: () -> Boolean,
-    ): Boolean {
-        val until = System.nanoTime() + TimeUnit.SECONDS.toNanos(withinS)
-        while (System.nanoTime() < until) {
-            if (test()) return true
-            Thread.sleep(100)
-        }
-        return false
-    }
-
     /** The command beside the service; its output is left in a file. */
     private fun drain(vararg args: String): Int {
         val line = command.dropLast(1) + "drain" + args + listOf("--config", File(folder, "n0.json").path)
@@ -205,27 +193,12 @@
 
     private fun launch(node: Int) {
         val file = File(folder, "n$node.json")
-        file.writeText(deployment.settings(node, limits()).encodePrettily())
+        file.writeText(deployment.settings(node, smallLimits("red" to 400.0, "blue" to 400.0)).encodePrettily())
         val log = ProcessBuilder.Redirect.appendTo(File(folder, "n$node.log"))
         val operator = listOf("--operator", File(folder, "operator.hcl").path)
         processes[node] = ProcessBuilder(command + file.path + operator).redirectErrorStream(true).redirectOutput(log).start()
     }
 
-    private fun limits(): JsonObject {
-        val teams = listOf("red", "blue").map { JsonObject().put("name", it).put("cpus", 0.0).put("cpus_max", 400.0) }
-        return JsonObject()
-            .put("teams", JsonArray(teams))
-            .put("workers", JsonObject().put("report_s", 1.0).put("lease_s", 20.0).put("cancel_s", 40.0))
-            .put(
-                "state",
-                JsonObject()
-                    .put("rps", 300.0)
-                    .put("write_rps", 150.0)
-                    .put("value_kb", 8.0)
-                    .put("txn_ops", 12),
-            ).put("cloud", JsonObject().put("rps", 8.0).put("list_lag_s", 1.0))
-    }
-
     private companion object {
         const val NAME = "all-out"
         const val BUDGET = 1
--- a/src/test/kotlin/lichenstage/standin/Smoke.kt
+++ b/src/test/kotlin/lichenstage/standin/Smoke.kt
@@ -138,15 +138,6 @@
         if (ok) passed++ else failed++
     }
 
-    private fun eventually(test: () -> Boolean): Boolean {
-        val until = System.nanoTime() + TimeUnit.SECONDS.toNanos(60)
-        while (System.nanoTime() < until) {
-            if (test()) return true
-            Thread.sleep(100)
-        }
-        return false
-    }
-
     private fun exitOf(vararg args: String): Int {
         val process =
             ProcessBuilder(command.dropLast(1) + args).redirectErrorStream(true).redirectOutput(File(folder, "exit.log")).start()
@@ -170,21 +161,7 @@
         logOf(0).readText().contains("DEBUG lichenstage") && logOf(1).readText().contains("INFO lichenstage") &&
             !logOf(1).readText().contains("DEBUG lichenstage") && !logOf(2).readText().contains("INFO lichenstage")
 
-    private fun settings(node: Int) =
-        deployment.settings(
-            node,
-            JsonObject()
-                .put("teams", JsonArray().add(JsonObject().put("name", "red").put("cpus", 0.0).put("cpus_max", 24.0)))
-                .put("workers", JsonObject().put("report_s", 1.0).put("lease_s", 20.0).put("cancel_s", 40.0))
-                .put(
-                    "state",
-                    JsonObject()
-                        .put("rps", 300.0)
-                        .put("write_rps", 150.0)
-                        .put("value_kb", 8.0)
-                        .put("txn_ops", 12),
-                ).put("cloud", JsonObject().put("rps", 8.0).put("list_lag_s", 1.0)),
-        )
+    private fun settings(node: Int) = deployment.settings(node, smallLimits("red" to 24.0))
 
     private fun job(
         id: Int,
--- a/src/test/kotlin/lichenstage/world/SimulatedCluster.kt
+++ b/src/test/kotlin/lichenstage/world/SimulatedCluster.kt
@@ -147,7 +147,7 @@
                 .map { it.name }
                 .filterIndexed { i, _ -> i % share == 0 }
         state.drainedMachines += names.map { DrainedMachine(it, name, Stage.WAITING, now) }
-        state.drains[name] = Drain(name, names, replace, atMost, DrainStatus.RUNNING, null, now, null)
+        state.drains[name] = Drain(name, replace, atMost, DrainStatus.RUNNING, null, now, null)
     }
 
     fun setDrain(
