--- a/src/main/kotlin/lichenstage/app/Main.kt
+++ b/src/main/kotlin/lichenstage/app/Main.kt
@@ -7,9 +7,6 @@
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.SupervisorJob
 import lichenstage.drain.DrainCommand
-import picocli.CommandLine
-import picocli.CommandLine.Model.CommandSpec
-import picocli.CommandLine.Model.OptionSpec
 import java.io.File
 import java.io.IOException
 import kotlin.system.exitProcess
@@ -29,6 +26,8 @@
 /** The command for drains, beside the service. */
 private const val DRAIN = "drain"
 
+private const val WARM_UP = "warm-up"
+
 /** Arguments or settings that can't be used. */
 private const val BAD_ARGUMENTS = 2
 
@@ -36,57 +35,49 @@
     if (status != SERVING) exitProcess(status)
 }
 
-private fun commandLine(): CommandLine {
-    // Options are built in code: annotations would be read by reflection at every start, and starting is charged.
-    val spec = CommandSpec.create().name("lichenstage")
-    spec.usageMessage().description("A cluster scheduler: one controller of a deployment.")
-    spec.usageMessage().footer("Machines are drained by: lichenstage drain (see its --help).")
-    spec.version("lichenstage ${Settings::class.java.`package`.implementationVersion ?: "in development"}")
-
-    fun option(
-        description: String,
-        vararg names: String,
-    ) = OptionSpec.builder(names).description(description)
-    spec.addOption(
-        option("The platform's settings file (JSON).", "--config").type(String::class.java).paramLabel("FILE").build(),
-    )
-    spec.addOption(
-        option("The operators' own settings (HCL).", "--operator").type(String::class.java).paramLabel("FILE").build(),
-    )
-    spec.addOption(option("Check the settings and stop.", "--check").type(Boolean::class.java).build())
-    spec.addOption(
-        option("Start on loopback with made-up settings and stop: builds the class archive.", "--warm-up")
-            .type(Boolean::class.java)
-            .hidden(true)
-            .build(),
-    )
-    spec.addOption(option("Show this help.", "-h", "--help").usageHelp(true).build())
-    spec.addOption(option("Show the version.", "-V", "--version").versionHelp(true).build())
-    return CommandLine(spec)
-}
+private fun commandLine() =
+    CommandLineParser(
+        "lichenstage --config FILE",
+        "A cluster scheduler: one controller of a deployment. For drains: lichenstage drain --help",
+    ).value("config", "FILE", "The platform's settings file (JSON).")
+        .value("operator", "FILE", "The operators' own settings (HCL).")
+        .flag("check", "Check the settings and stop.")
+        .flag(WARM_UP, "Start on loopback with made-up settings and stop; the build makes the class archive of it.")
+        .flag("help", "Show this help.", short = "h")
+        .flag("version", "Show the version.", short = "V")
 
 private fun run(args: Array<String>): Int {
-    val line = commandLine()
-    val parsed =
-        try {
-            @Suppress("SpreadOperator") // Once, at the start.
-            line.parseArgs(*args)
-        } catch (e: CommandLine.ParameterException) {
-            return refused(e.message, line)
-        }
-    if (CommandLine.printHelpIfRequested(parsed)) return 0
-    if (parsed.hasMatchedOption("--warm-up")) return warmUp()
-    val path = parsed.matchedOptionValue<String?>("--config", null) ?: return refused("--config FILE is needed", line)
-    val operatorPath = parsed.matchedOptionValue<String?>("--operator", null)
-    return start(path, operatorPath, checkOnly = parsed.hasMatchedOption("--check"))
+    val commandLine = commandLine()
+    return try {
+        carryOut(commandLine.parse(args.toList()), commandLine)
+    } catch (e: BadArguments) {
+        refused(e.message, commandLine)
+    }
+}
+
+private fun carryOut(
+    arguments: ParsedArguments,
+    commandLine: CommandLineParser,
+): Int {
+    if (arguments.has("help")) {
+        println(commandLine.help())
+        return 0
+    }
+    if (arguments.has("version")) {
+        println("lichenstage ${Settings::class.java.`package`.implementationVersion ?: "in development"}")
+        return 0
+    }
+    if (arguments.has(WARM_UP)) return warmUp()
+    val path = arguments.text("config") ?: throw BadArguments("--config FILE is needed")
+    return start(path, arguments.text("operator"), checkOnly = arguments.has("check"))
 }
 
 private fun refused(
     why: String?,
-    line: CommandLine? = null,
+    commandLine: CommandLineParser? = null,
 ): Int {
     System.err.println("lichenstage: $why")
-    line?.usage(System.err)
+    commandLine?.let { System.err.println(it.help()) }
     return BAD_ARGUMENTS
 }
 
@@ -135,6 +126,8 @@
     System.setProperty("io.netty.processId", "1")
     System.setProperty("io.netty.allocator.type", "unpooled")
     System.setProperty("io.netty.noPreferDirect", "true")
+    // The events of its allocators would start the JVM's flight recorder, a sixth of what a start costs.
+    System.setProperty("io.netty.jfr.enabled", "false")
     val options =
         VertxOptions()
             .setEventLoopPoolSize(1)
--- a/src/main/kotlin/lichenstage/app/WarmUp.kt
+++ b/src/main/kotlin/lichenstage/app/WarmUp.kt
@@ -18,15 +18,18 @@
 import lichenstage.placement.LeaderEffect
 import lichenstage.placement.ServiceObjectives
 import lichenstage.placement.Timers
+import java.io.File
 import java.io.IOException
 import java.net.ServerSocket
 import java.net.Socket
+import java.util.zip.ZipFile
 
 /**
  * A start on loopback without any other process, for the class-data archive: the classes that a controller loads at its
  * start are written down while the build is made, so that every later start maps them instead of reading them.
  */
 internal fun warmUp(): Int {
+    loadOwnClasses()
     val servePort = freePort()
     serve(Settings.parse(warmUpSettings(servePort, clusterPort = freePort())))
     decide()
@@ -34,6 +37,28 @@
     return 0
 }
 
+/** The classes that only a leader, or an answer of another service, would bring in: they are in the archive as well. */
+private fun loadOwnClasses() {
+    val jar =
+        File(
+            Settings::class.java.protectionDomain.codeSource.location
+                .toURI(),
+        )
+    if (!jar.isFile) return
+    val names =
+        ZipFile(jar).use { zip ->
+            zip
+                .entries()
+                .asSequence()
+                .map { it.name }
+                .filter { it.endsWith(CLASS_FILE) }
+                .toList()
+        }
+    names.forEach { Class.forName(it.removeSuffix(CLASS_FILE).replace('/', '.'), false, Settings::class.java.classLoader) }
+}
+
+private const val CLASS_FILE = ".class"
+
 private fun freePort(): Int = ServerSocket(0).use { it.localPort }
 
 /** Settings of a controller whose every neighbour is a port of its own machine. */
--- a/src/main/kotlin/lichenstage/drain/DrainCommand.kt
+++ b/src/main/kotlin/lichenstage/drain/DrainCommand.kt
@@ -6,17 +6,15 @@
 import io.vertx.kotlin.coroutines.dispatcher
 import kotlinx.coroutines.runBlocking
 import kotlinx.coroutines.withContext
+import lichenstage.app.BadArguments
 import lichenstage.app.Clock
+import lichenstage.app.CommandLineParser
+import lichenstage.app.ParsedArguments
 import lichenstage.app.SECOND
 import lichenstage.app.Settings
 import lichenstage.app.SettingsError
 import lichenstage.app.timeOfDayUs
 import lichenstage.state.StateClient
-import picocli.CommandLine
-import picocli.CommandLine.Model.CommandSpec
-import picocli.CommandLine.Model.OptionSpec
-import picocli.CommandLine.Model.PositionalParamSpec
-import picocli.CommandLine.ParseResult
 
 /** `lichenstage drain start|status|pause|resume|cancel`. */
 class DrainCommand(
@@ -24,102 +22,56 @@
     private val out: (String) -> Unit,
     private val complain: (String) -> Unit,
 ) {
-    private val line = CommandLine(spec())
-
-    private fun spec(): CommandSpec {
-        val spec = CommandSpec.create().name("lichenstage drain")
-        spec.usageMessage().description("Empties machines in steps, within the disruption budgets of the teams.")
-
-        fun option(
-            name: String,
-            type: Class<*>,
-            description: String,
-        ) = spec.addOption(
-            OptionSpec
-                .builder(name)
-                .type(type)
-                .description(description)
-                .build(),
-        )
-        spec.addPositional(
-            PositionalParamSpec
-                .builder()
-                .paramLabel(
-                    "start|status|pause|resume|cancel",
-                ).index("0")
-                .type(String::class.java)
-                .required(true)
-                .build(),
-        )
-        spec.addPositional(
-            PositionalParamSpec
-                .builder()
-                .paramLabel("NAME")
-                .index("1")
-                .arity("0..1")
-                .type(String::class.java)
-                .build(),
-        )
-        option("--config", String::class.java, "The platform's settings file (JSON) of any controller.")
-        option("--machine", String::class.java, "Machines by name, separated by commas.")
-        option("--type", String::class.java, "Machines of this type.")
-        option("--zone", String::class.java, "Machines of this zone.")
-        option("--spot", Boolean::class.java, "Cheap machines.")
-        option("--ordinary", Boolean::class.java, "Ordinary machines.")
-        option("--hired-up-to", String::class.java, "Machines that were hired no later than this one.")
-        option("--all", Boolean::class.java, "All machines, where nothing else selects.")
-        option("--replace", Boolean::class.java, "Each is followed by a fresh one.")
-        option("--at-most", Integer::class.java, "Machines at once (1).")
-        option("--deadline-s", java.lang.Long::class.java, "Seconds from now; it is only reported whether it can be kept.")
-        option("--dry-run", Boolean::class.java, "Show what would be done, write nothing.")
-        option("--json", Boolean::class.java, "Print JSON.")
-        spec.addOption(OptionSpec.builder("-h", "--help").usageHelp(true).build())
-        return spec
-    }
-
-    /** Arguments that can't be used. */
-    private class BadArguments(
-        why: String?,
-        cause: Exception? = null,
-    ) : Exception(why, cause)
+    private val commandLine =
+        CommandLineParser(
+            "lichenstage drain start|status|pause|resume|cancel [NAME]",
+            "Empties machines in steps, within the disruption budgets of the teams.",
+            mostOperands = 2,
+        ).value("config", "FILE", "The platform's settings file (JSON) of any controller.")
+            .value("machine", "NAMES", "Machines by name, separated by commas.")
+            .value("type", "TYPE", "Machines of this type.")
+            .value("zone", "ZONE", "Machines of this zone.")
+            .flag("spot", "Cheap machines.")
+            .flag("ordinary", "Ordinary machines.")
+            .value("hired-up-to", "NAME", "Machines that were hired no later than this one.")
+            .flag("all", "All machines, where nothing else selects.")
+            .flag("replace", "Each is followed by a fresh one.")
+            .value("at-most", "COUNT", "Machines at once (1).")
+            .value("deadline-s", "SECONDS", "Seconds from now; it is only reported whether it can be kept.")
+            .flag("dry-run", "Show what would be done, write nothing.")
+            .flag("json", "Print JSON.")
+            .flag("help", "Show this help.", short = "h")
 
     /** What is asked for, checked as far as that goes without the state service. */
     private class Arguments(
         val settings: Settings,
         val verb: String,
         val name: String?,
-        val parsed: ParseResult,
+        val parsed: ParsedArguments,
     )
 
     /** The exit status: 2 where something can't be done as it was asked, 1 where the state service does not answer. */
     fun run(args: List<String>): Int =
         try {
-            val parsed = parse(args)
-            if (CommandLine.printHelpIfRequested(parsed)) {
+            val parsed = commandLine.parse(args)
+            if (parsed.has("help")) {
+                out(commandLine.help())
                 0
             } else {
                 val arguments = check(parsed)
-                report(answer(arguments), parsed.hasMatchedOption("--json"))
+                report(answer(arguments), parsed.has("json"))
             }
         } catch (e: BadArguments) {
             refused("${e.message}")
         }
 
-    private fun parse(args: List<String>): ParseResult =
-        try {
-            @Suppress("SpreadOperator") // Once.
-            line.parseArgs(*args.toTypedArray())
-        } catch (e: CommandLine.ParameterException) {
-            throw BadArguments(e.message, e)
-        }
-
-    private fun check(parsed: ParseResult): Arguments {
-        val verb = parsed.matchedPositionalValue(0, "")
-        val name: String? = parsed.matchedPositionalValue(1, null)
-        if (verb !in VERBS) throw BadArguments("$verb: one of ${VERBS.joinToString()} is needed")
+    private fun check(parsed: ParsedArguments): Arguments {
+        val verb = parsed.operands.firstOrNull().orEmpty()
+        val name = parsed.operands.getOrNull(1)
+        if (verb !in VERBS) throw BadArguments("one of ${VERBS.joinToString()} is needed, found \"$verb\"")
         if (name == null && verb != STATUS) throw BadArguments("the drain's name is needed")
         if (verb == START && !selects(parsed)) throw BadArguments("machines are to be selected, or --all")
-        val config: String = parsed.matchedOptionValue("--config", null) ?: throw BadArguments("--config FILE is needed")
+        val config = parsed.text("config") ?: throw BadArguments("--config FILE is needed")
         return Arguments(settings(config), verb, name, parsed)
     }
 
@@ -130,7 +82,7 @@
             throw BadArguments(e.message, e)
         }
 
-    private fun selects(parsed: ParseResult) = SELECTING.any { parsed.hasMatchedOption(it) }
+    private fun selects(parsed: ParsedArguments) = SELECTING.any { parsed.has(it) }
 
     private fun refused(why: String): Int {
         complain("lichenstage drain: $why")
@@ -170,29 +122,35 @@
 
     private fun request(
         name: String,
-        parsed: ParseResult,
+        parsed: ParsedArguments,
     ): DrainRequest {
-        val spot = if (parsed.hasMatchedOption("--spot")) true else false.takeIf { parsed.hasMatchedOption("--ordinary") }
-        val names = parsed.matchedOptionValue<String?>("--machine", null)?.split(',').orEmpty()
+        val spot = if (parsed.has("spot")) true else false.takeIf { parsed.has("ordinary") }
+        val names = parsed.text("machine")?.split(',').orEmpty()
         val selection =
             DrainSelection(
                 names.filter { it.isNotEmpty() }.toSet(),
-                parsed.matchedOptionValue("--type", null),
-                parsed.matchedOptionValue("--zone", null),
+                parsed.text("type"),
+                parsed.text("zone"),
                 spot,
-                parsed.matchedOptionValue("--hired-up-to", null),
+                parsed.text("hired-up-to"),
             )
-        val deadlineS: Long? = parsed.matchedOptionValue<Long?>("--deadline-s", null)
+        val deadlineS = parsed.whole("deadline-s")
         return DrainRequest(
             name,
             selection,
-            replace = parsed.hasMatchedOption("--replace"),
-            atMost = parsed.matchedOptionValue<Int?>("--at-most", null) ?: 1,
+            replace = parsed.has("replace"),
+            atMost = atMost(parsed),
             deadlineUs = deadlineS?.let { timeOfDayUs() + it * SECOND },
-            dryRun = parsed.hasMatchedOption("--dry-run"),
+            dryRun = parsed.has("dry-run"),
         )
     }
 
+    private fun atMost(parsed: ParsedArguments): Int {
+        val machines = parsed.whole("at-most") ?: 1
+        if (machines > Int.MAX_VALUE) throw BadArguments("--at-most: found $machines, too large")
+        return machines.toInt()
+    }
+
     private fun report(
         answer: DrainAnswer,
         asJson: Boolean,
@@ -227,7 +185,7 @@
         const val START = "start"
         const val STATUS = "status"
         val VERBS = listOf(START, STATUS, "pause", "resume", "cancel")
-        val SELECTING = listOf("--machine", "--type", "--zone", "--spot", "--ordinary", "--hired-up-to", "--all")
+        val SELECTING = listOf("machine", "type", "zone", "spot", "ordinary", "hired-up-to", "all")
         const val REFUSED = 2
         const val UNAVAILABLE = 1
 
--- a/src/test/kotlin/lichenstage/standin/Load.kt
+++ b/src/test/kotlin/lichenstage/standin/Load.kt
@@ -7,12 +7,12 @@
 import io.vertx.core.http.PoolOptions
 import io.vertx.core.json.JsonArray
 import io.vertx.core.json.JsonObject
-import picocli.CommandLine
+import lichenstage.app.CommandLineParser
+import lichenstage.app.ParsedArguments
 import java.io.File
 import java.nio.file.Files
 import java.nio.file.Path
 import java.util.Random
-import java.util.concurrent.Callable
 import java.util.concurrent.atomic.AtomicInteger
 import kotlin.system.exitProcess
 
@@ -22,29 +22,35 @@
  * killed and started again. What the process takes is read from the system every second.
  */
 fun main(args: Array<String>) {
-    exitProcess(CommandLine(Load()).execute(*args))
+    val commandLine =
+        CommandLineParser("load", "A load check of the built jar on loopback.")
+            .value("workers", "COUNT", "How many workers (default 1600).")
+            .value("controllers", "COUNT", "How many of the three controllers run (default 1).")
+            .value("phase", "SECONDS", "Seconds of each of the three phases (default 40).")
+            .value("tasks", "COUNT", "Tasks submitted a second (default 140).")
+            .value("sockets", "COUNT", "max_sockets in the settings (default 2481).")
+            .value("jvm", "FLAGS", "Further flags for the process's JVM, separated by blanks, as for a recording.")
+            .flag("help", "Show this help.", short = "h")
+    val arguments = commandLine.parse(args.toList())
+    if (arguments.has("help")) return println(commandLine.help())
+    exitProcess(Load(LoadOptions(arguments)).run())
 }
 
-@CommandLine.Command(name = "load", mixinStandardHelpOptions = true)
-private class Load : Callable<Int> {
-    @CommandLine.Option(names = ["--workers"], description = ["How many workers (default 1600)."])
-    private var workerCount = 1600
-
-    @CommandLine.Option(names = ["--controllers"], description = ["How many of the three controllers run (default 1)."])
-    private var alive = 1
-
-    @CommandLine.Option(names = ["--phase"], description = ["Seconds of each of the three phases (default 40)."])
-    private var phaseS = 40
-
-    @CommandLine.Option(names = ["--tasks"], description = ["Tasks submitted a second (default 140)."])
-    private var tasksASecond = 140
-
-    @CommandLine.Option(names = ["--sockets"], description = ["max_sockets in the settings (default 2481)."])
-    private var maxSockets = 2481
-
-    @CommandLine.Option(names = ["--jvm"], description = ["Another flag for the process's JVM, as for a recording."])
-    private var jvm = ArrayList<String>()
+/** What is played. */
+private class LoadOptions(
+    arguments: ParsedArguments,
+) {
+    val workers = arguments.whole("workers")?.toInt() ?: 1600
+    val controllers = arguments.whole("controllers")?.toInt() ?: 1
+    val phaseS = arguments.whole("phase")?.toInt() ?: 40
+    val tasksASecond = arguments.whole("tasks")?.toInt() ?: 140
+    val sockets = arguments.whole("sockets")?.toInt() ?: 2481
+    val jvm = arguments.text("jvm")?.split(' ').orEmpty()
+}
 
+private class Load(
+    private val options: LoadOptions,
+) {
     private val vertx = Vertx.vertx(VertxOptions().setEventLoopPoolSize(2))
     private val deployment = Deployment(listOf("a", "b", "c"))
     private val serve = deployment.serve
@@ -60,7 +66,7 @@
     /** The one that is measured, and killed. */
     private val process get() = processes.first()
 
-    override fun call(): Int {
+    fun run(): Int {
         try {
             StateStandIn(vertx, deployment.statePort).start()
             val cloud =
@@ -80,8 +86,8 @@
                     )
                 }
             cloud.start()
-            repeat(alive) { processes += launch(it) }
-            val workers = cloud.stock(workerCount)
+            repeat(options.controllers) { processes += launch(it) }
+            val workers = cloud.stock(options.workers)
             phase("all workers arrive", workers)
             workers.forEach { it.reconnect() }
             phase("all workers reconnect", workers)
@@ -106,7 +112,7 @@
         var allMs = -1L
         var most = Taken(0, 0, 0)
         val before = cpuMs()
-        for (second in 1..phaseS) {
+        for (second in 1..options.phaseS) {
             Thread.sleep(1_000)
             submit()
             repeat(POLLS) { poll() }
@@ -115,11 +121,11 @@
             if (allMs < 0 && workers.all { it.lastAnsweredMs > beganMs }) allMs = System.currentTimeMillis() - beganMs
         }
         val cpu = (cpuMs() - before) / 1000.0
-        println("$what: all answered after $allMs ms; $most; $cpu s of processor time in $phaseS s")
+        println("$what: all answered after $allMs ms; $most; $cpu s of processor time in ${options.phaseS} s")
     }
 
     private fun submit() {
-        val tasks = tasksASecond / 2
+        val tasks = options.tasksASecond / 2
         repeat(2) {
             val id = ++submitted
             users
@@ -172,7 +178,7 @@
     private fun launch(node: Int): Process {
         val run = deployedRun()
         val file = File(folder, "n$node.json").apply { writeText(settings(node).encodePrettily()) }
-        val command = listOf(run.first()) + jvm + run.drop(1) + file.path
+        val command = listOf(run.first()) + options.jvm + run.drop(1) + file.path
         val log = ProcessBuilder.Redirect.appendTo(File(folder, "n$node.log"))
         return ProcessBuilder(command).redirectErrorStream(true).redirectOutput(log).start()
     }
@@ -191,7 +197,7 @@
                         .put("value_kb", 16.0)
                         .put("txn_ops", 48),
                 ).put("cloud", JsonObject().put("rps", 10.0).put("list_lag_s", 1.0))
-                .put("machine_limits", JsonObject().put("core_share", 0.187).put("memory_mb", 365.0).put("max_sockets", maxSockets)),
+                .put("machine_limits", JsonObject().put("core_share", 0.187).put("memory_mb", 365.0).put("max_sockets", options.sockets)),
         )
 
     private companion object {
