A partition waits for its own controller where that is well; operations: start, leases and bounds

Now others wait 6 s for a controller that is in reach and that the state service answers, as they do at the first start.

--- a/src/main/kotlin/lichenstage/app/Controller.kt
+++ b/src/main/kotlin/lichenstage/app/Controller.kt
@@ -61,7 +61,8 @@
         StateClient(vertx, settings.state, clock, controllers, settings.stateRps, settings.stateWriteRps, ::writeShare)
     private val cloud = CloudClient(vertx, settings.cloud)
     private val catalog = Catalog(cloud, state, scope)
-    private val authority: Authority = Authority(settings, state, clock, scope, { to, frame -> links.send(to, frame) }, ::viewChanged)
+    private val authority: Authority =
+        Authority(settings, state, clock, scope, { to, frame -> links.send(to, frame) }, { links.isWell(it) }, ::viewChanged)
     private val links: PeerLinks =
         PeerLinks(
             vertx,
--- a/src/main/kotlin/lichenstage/authority/AcquisitionOrder.kt
+++ b/src/main/kotlin/lichenstage/authority/AcquisitionOrder.kt
@@ -22,17 +22,22 @@
                 .distinct()
                 .size
 
-    /** [held]: how many keys this process holds; [home]: the controller that normally owns the partition. */
+    /**
+     * [held]: how many keys this process holds; [home]: the controller that normally owns the partition; [homeIsWell]: it is in reach and
+     * the state service answers it, so that it is about to take the partition itself. (Seen on Baile's lean "rough" day: all processes came
+     * back within a second, the first took two partitions and the leadership, and gave the second back after 36 s.)
+     */
     fun patienceUs(
         leadership: Boolean,
         held: Int,
         home: String?,
         everOwned: Boolean,
+        homeIsWell: Boolean,
     ): Long =
         when {
             leadership -> held * 150 * MILLI + rank * 50 * MILLI + if (evenlyShared) 0 else 400 * MILLI
             home == settings.label -> 0
-            home != null && !everOwned -> FIRST_PATIENCE_US + rank * 200 * MILLI
+            home != null && (!everOwned || homeIsWell) -> FIRST_PATIENCE_US + rank * 200 * MILLI
             else -> 200 * MILLI + held * 250 * MILLI + rank * 100 * MILLI
         }
 
--- a/src/main/kotlin/lichenstage/authority/Authority.kt
+++ b/src/main/kotlin/lichenstage/authority/Authority.kt
@@ -41,6 +41,8 @@
     private val clock: Clock,
     private val scope: CoroutineScope,
     private val send: (String, Frame) -> Unit,
+    /** Another controller is in reach, and the state service answers it. */
+    private val isWell: (String) -> Boolean,
     private val changed: (View) -> Unit,
 ) {
     private val log = LoggerFactory.getLogger("lichenstage.authority")
@@ -294,7 +296,9 @@
     private fun patience(key: String): Long {
         val held = keys.holdersInForce.count { it.label == settings.label }
         val home = assignment.home(key.removePrefix(PARTITION))
-        return acquisitionOrder.patienceUs(key == LEADER, held, home, keys.everOwned(key)) + AcquisitionOrder.lagPatienceUs(lag.us)
+        val homeIsWell = home != null && home != settings.label && isWell(home)
+        return acquisitionOrder.patienceUs(key == LEADER, held, home, keys.everOwned(key), homeIsWell) +
+            AcquisitionOrder.lagPatienceUs(lag.us)
     }
 
     private var acquiring = false
--- a/src/main/kotlin/lichenstage/cluster/PeerLinks.kt
+++ b/src/main/kotlin/lichenstage/cluster/PeerLinks.kt
@@ -61,12 +61,15 @@
     }
 
     /** Another controller is in reach that the state service answers. */
-    fun peerWithState(): String? = settings.peers.map { it.label }.firstOrNull { direct(it) && answeredByState[it] == true }
+    fun peerWithState(): String? = settings.peers.map { it.label }.firstOrNull(::isWell)
+
+    /** That controller is in reach, and the state service answers it. */
+    fun isWell(label: String) = direct(label) && answeredByState[label] == true
 
     /** That controller has been in reach, answered by the state service, and not running late, for a while. */
     fun steady(label: String): Boolean {
         val now = clock.now()
-        return direct(label) && answeredByState[label] == true && now - (wellSinceUs[label] ?: now) > STEADY_US &&
+        return isWell(label) && now - (wellSinceUs[label] ?: now) > STEADY_US &&
             punctuality[label]?.isPunctual(now) == true
     }
 
--- a/src/test/kotlin/lichenstage/authority/LeaseLifeTest.kt
+++ b/src/test/kotlin/lichenstage/authority/LeaseLifeTest.kt
@@ -2,6 +2,8 @@
 
 import lichenstage.app.MILLI
 import lichenstage.app.SECOND
+import lichenstage.app.Settings
+import lichenstage.app.warmUpSettings
 import net.jqwik.api.Example
 import net.jqwik.api.ForAll
 import net.jqwik.api.Property
@@ -36,6 +38,18 @@
         condition(life <= maxOf(2 * SECOND, workerLeaseS * SECOND / 3), "$life of $workerLeaseS s")
     }
 
+    /** All come back within a second: whoever is first leaves the partitions of the others to them, but not for ever. */
+    @Example
+    fun `a partition waits for its own controller where that is well`() {
+        val order = AcquisitionOrder(Settings.parse(warmUpSettings(8080, 8081, 8082)))
+
+        fun patience(homeIsWell: Boolean) = order.patienceUs(leadership = false, held = 1, home = "b", everOwned = true, homeIsWell)
+        condition(patience(homeIsWell = false) < SECOND, "its controller is gone: ${patience(false)}")
+        condition(patience(homeIsWell = true) in 4 * SECOND..8 * SECOND, "its controller is well: ${patience(true)}")
+        val own = order.patienceUs(leadership = false, held = 1, home = "a", everOwned = true, homeIsWell = false)
+        condition(own == 0L, "its own partition: $own")
+    }
+
     @Example
     fun `who runs late leaves keys to others for a bounded time`() {
         condition(AcquisitionOrder.lagPatienceUs(0) == 0L, "in time")
