--- a/src/main/kotlin/lichenstage/partition/ChangeLog.kt
+++ b/src/main/kotlin/lichenstage/partition/ChangeLog.kt
@@ -150,7 +150,7 @@
     /**
      * What the next frame tells of. The more machines there are, the more of them change until the leader's answer: a frame of fixed size
      * would never tell all of a large partition, and only a frame that does lets the leader conclude anything from what is not listed
-     * (invariant 17). With some four machines in ten that change a second, a hundred in a frame were enough for no more than a thousand.
+     * (invariant 17). At 4,000 machines of which a tenth changes until the answer, frames of a hundred never did.
      */
     private fun firstUnacknowledged(): List<Machine> {
         val most = machinesInFrame * ((machineCount() + MACHINES_A_SHARE - 1) / MACHINES_A_SHARE).coerceAtLeast(1)
