--- a/src/main/kotlin/lichenstage/app/CommandLineParser.kt
+++ b/src/main/kotlin/lichenstage/app/CommandLineParser.kt
@@ -6,6 +6,7 @@
 import org.apache.commons.cli.Options
 import org.apache.commons.cli.ParseException
 import org.apache.commons.cli.help.HelpFormatter
+import org.apache.commons.cli.help.TextHelpAppendable
 
 /** Arguments that can't be used; the message says why. */
 class BadArguments(
@@ -66,10 +67,8 @@
         val text = StringBuilder()
         HelpFormatter
             .builder()
-            .setHelpAppendable(
-                org.apache.commons.cli.help
-                    .TextHelpAppendable(text),
-            ).setShowSince(false)
+            .setHelpAppendable(TextHelpAppendable(text))
+            .setShowSince(false)
             .get()
             .printHelp(syntax, description, options, "", false)
         return text.toString().trim()
--- a/src/main/kotlin/lichenstage/app/LoopLag.kt
+++ b/src/main/kotlin/lichenstage/app/LoopLag.kt
@@ -5,17 +5,16 @@
  * counts and fades.
  */
 class LoopLag {
-    private var worstUs = 0L
-
     /** The present lag; 0 where timers run in time. */
-    val us get() = worstUs
+    var us = 0L
+        private set
 
     /** A timer that was due at [dueUs] ran at [now]; called several times a second. */
     fun ran(
         dueUs: Long,
         now: Long,
     ) {
-        worstUs = maxOf(now - dueUs, worstUs - worstUs / FADING)
+        us = maxOf(now - dueUs, us - us / FADING)
     }
 
     private companion object {
