--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -3,4 +3,4 @@
 cd "$(dirname "$0")/../.." || exit 2
 export TROUBLE="${TROUBLE:-1}"
 [ -f target/review/Case1.class ] || exit 2
-exec java -Xmx1g -cp "target/review:target/lib/*" Case1
+exec java -Xmx1g -Dports=1 -cp "target/review:target/lib/*" Case1
--- a/review/standin/Controllers.java
+++ b/review/standin/Controllers.java
@@ -65,10 +65,14 @@
         Runtime.getRuntime().addShutdownHook(new Thread(this::end));
     }
 
-    /** Returns a port that is free now, below the range from which the system takes the ports of outgoing connections. */
+    /**
+     * Returns a port that is free now, below the range from which the system takes the ports of outgoing connections. Each case has a range
+     * of its own, so that cases can run at the same time.
+     */
     public static synchronized int freePort() {
+        int range = Integer.getInteger("ports", 0);
         while (true) {
-            int port = 10_000 + PORTS.nextInt(22_000);
+            int port = 10_000 + 3_000 * range + PORTS.nextInt(3_000);
             try (ServerSocket socket = new ServerSocket(port, 1, InetAddress.getLoopbackAddress())) {
                 if (TAKEN.add(socket.getLocalPort())) return socket.getLocalPort();
             } catch (IOException e) {
