--- a/src/main/kotlin/lichenstage/app/Controller.kt
+++ b/src/main/kotlin/lichenstage/app/Controller.kt
@@ -57,7 +57,16 @@
             KeyValueStoreClient.MAX_CONNECTIONS + CloudClient.MAX_CONNECTIONS + settings.peers.size * SOCKETS_PER_PEER + SPARE_SOCKETS,
         )
     private val store =
-        KeyValueStoreClient(vertx, settings.stateAddress, clock, controllerCount, settings.stateRps, settings.stateWriteRps, ::writeShare)
+        KeyValueStoreClient(
+            vertx,
+            settings.stateAddress,
+            clock,
+            controllerCount,
+            settings.stateRps,
+            settings.stateWriteRps,
+            ::writeShare,
+            metrics.counter("transactions_refused")::increment,
+        )
     private val cloudClient = CloudClient(vertx, settings.cloudAddress)
     private val catalog = MachineCatalog(cloudClient, store, scope)
     private val authority: Authority =
--- a/src/main/kotlin/lichenstage/drain/DrainCommand.kt
+++ b/src/main/kotlin/lichenstage/drain/DrainCommand.kt
@@ -106,7 +106,8 @@
                             settings.controllerCount,
                             settings.stateRps,
                             settings.stateWriteRps,
-                        ) { STATE_WRITE_SHARE }
+                            { STATE_WRITE_SHARE },
+                        )
                     val operations = DrainOperations(store, store::scan, DrainRecordCodec(settings.maxValueBytes), settings, ::timeOfDayUs)
                     when (arguments.subcommand) {
                         START -> operations.start(buildRequest(name!!, arguments.parsed))
--- a/src/main/kotlin/lichenstage/fleet/Demand.kt
+++ b/src/main/kotlin/lichenstage/fleet/Demand.kt
@@ -10,6 +10,7 @@
  * @property busyMachines the number of machines that the job uses now
  * @property waitingWorkUs the part of [workUs] that could start now but has not started
  * @property readyInUs the expected time until a job that waits for dependencies is ready, in microseconds; 0 if the job is ready
+ * @property zone the only zone in which the tasks of the job may run; null if every zone is allowed
  */
 data class Demand(
     val typeName: String,
@@ -20,4 +21,5 @@
     val busyMachines: Double = 0.0,
     val waitingWorkUs: Double = workUs,
     val readyInUs: Long = 0,
+    val zone: String? = null,
 )
--- a/src/main/kotlin/lichenstage/fleet/FleetCore.kt
+++ b/src/main/kotlin/lichenstage/fleet/FleetCore.kt
@@ -123,11 +123,13 @@
         return "type=$typeName machines=${machines.size} spot=${machines.count { it.isSpot }} up=${machines.count { it.hasBeenUp }} " +
             "idle=${machines.count { it.hasBeenUp && it.taskCount == 0 }} draining=${machines.count { it.isDraining }} " +
             "needed=${capacityEstimator.neededMachines(typeName, nowUs)} " +
-            "expected=%.0f busy=%.0f waitingS=%.0f".format(
+            "expected=%.0f busy=%.0f waitingS=%.0f ".format(
                 capacityEstimator.expectedMachines(typeName, nowUs),
                 demand.sumOf { it.busyMachines },
                 waitingS,
-            )
+            ) +
+            "machinesByZone=${machines.groupingBy { it.zone }.eachCount()} " +
+            "waitingDemandsByZone=${demand.filter { it.waitingWorkUs > 0 }.groupingBy { it.zone ?: "any" }.eachCount()}"
     }
 
     private companion object {
--- a/src/main/kotlin/lichenstage/placement/DemandEstimator.kt
+++ b/src/main/kotlin/lichenstage/placement/DemandEstimator.kt
@@ -74,6 +74,7 @@
             dueAtUs = null,
             busyMachines = job.liveAttempts.size / tasksPerMachine,
             waitingWorkUs = maxOf(waitingUs - job.totalSavedProgressUs / tasksPerMachine, 0.0),
+            zone = spec.zone,
         )
     }
 
--- a/src/main/kotlin/lichenstage/placement/DurableMachineRegistryDriver.kt
+++ b/src/main/kotlin/lichenstage/placement/DurableMachineRegistryDriver.kt
@@ -65,6 +65,13 @@
     /** Handles the outcome of a write. If it is committed, the machines in the chunks count as registered. */
     fun onChunksWritten(message: LeaderMessage.RegistryChunksWritten) {
         isWriteInFlight = false
+        log.debug(
+            "Registry write ended isCommitted={} chunks={} machines={} registered={}",
+            message.isCommitted,
+            message.chunks.size,
+            message.chunks.sumOf { it.machines.size },
+            core.machines.registeredCount,
+        )
         if (!message.isCommitted) return registry.onWriteFailed(message.chunks)
         val addedMachines = message.chunks.flatMap { it.machines }.filter { !core.machines.isRegistered(it.name) }
         core.onMachinesRegistered(addedMachines.associate { it.name to settings.assignment.partitionOf(it.name, it.zone)!! })
--- a/src/main/kotlin/lichenstage/placement/LeaderMachines.kt
+++ b/src/main/kotlin/lichenstage/placement/LeaderMachines.kt
@@ -11,6 +11,9 @@
     private val attemptTracker: AttemptTracker,
     private val assignment: PartitionAssignment,
 ) {
+    /** The number of machines with a record. */
+    val registeredCount get() = directory.size
+
     /** Whether the machine has a record. */
     fun isRegistered(machine: String) = directory.isRegistered(machine)
 
--- a/src/main/kotlin/lichenstage/placement/RequestRoundRunner.kt
+++ b/src/main/kotlin/lichenstage/placement/RequestRoundRunner.kt
@@ -5,6 +5,7 @@
 import lichenstage.cluster.StartCommand
 import lichenstage.model.PartitionAssignment
 import lichenstage.model.Resources
+import org.slf4j.LoggerFactory
 
 /** The part of the leader's state that a round of requests depends on. */
 internal interface RoundContext {
@@ -38,7 +39,11 @@
     private val outbox: PartitionOutbox,
     private val context: RoundContext,
 ) {
+    private val log = LoggerFactory.getLogger("lichenstage.placement")
     private var currentRound: RequestRound? = null
+
+    /** The number of waiting jobs at the start of the current round, of which the round requests capacity for the first ones only. */
+    private var waitingJobCount = 0
     private var attemptCounter = 0L
     private var hasChangedSinceRound = true
     private var roundStartedAtUs = Long.MIN_VALUE / 2
@@ -78,8 +83,10 @@
         hasChangedSinceRound = false
         roundStartedAtUs = nowUs
         val unaccountedUse = context.unaccountedUse()
+        val jobs = waitingJobs()
+        waitingJobCount = jobs.size
         val requests =
-            planner.plan(waitingJobs(), nowUs) { spec, planned ->
+            planner.plan(jobs, nowUs) { spec, planned ->
                 runningAttempts.allowedTaskCount(spec.team, spec.resources, unaccountedUse, planned)
             }
         if (requests.isEmpty()) return
@@ -112,9 +119,28 @@
             val seq = outbox.send(id, nowUs, starts = startsOfPartition, releases = allRequestNumbers.filter { it !in startedRequests })
             startedAttempts.forEach { if (it.partition == id) it.startSeq = seq }
         }
+        logRound(endingRound, startedAttempts)
         if (startedAttempts.isNotEmpty()) hasChangedSinceRound = true
     }
 
+    /** Logs which jobs a round has requested capacity for, and how many of them got any. */
+    private fun logRound(
+        endedRound: RequestRound,
+        startedAttempts: List<Attempt>,
+    ) {
+        if (!log.isDebugEnabled) return
+        val jobs = endedRound.requests.map { it.job }.distinct()
+        log.debug(
+            "Request round ended waitingJobs={} requestedJobs={} placedJobs={} placedTasks={} firstJob={} lastJob={}",
+            waitingJobCount,
+            jobs.size,
+            startedAttempts.distinctBy { it.job }.size,
+            startedAttempts.size,
+            jobs.first().spec.id,
+            jobs.last().spec.id,
+        )
+    }
+
     /** Creates attempts on the roomiest of the slots that are held for a request. */
     private fun createAttempts(
         jobRequest: JobRequest,
--- a/src/main/kotlin/lichenstage/state/KeyValueStoreClient.kt
+++ b/src/main/kotlin/lichenstage/state/KeyValueStoreClient.kt
@@ -7,6 +7,7 @@
 import lichenstage.common.Clock
 import lichenstage.common.HttpStatus
 import lichenstage.common.JsonHttpClient
+import lichenstage.common.RateLimitedLog
 import lichenstage.common.decodeOrNull
 import org.slf4j.LoggerFactory
 
@@ -24,8 +25,11 @@
     rps: Double,
     writeRps: Double,
     writeShare: () -> Double,
+    /** Called for each transaction that the service has refused as invalid. */
+    private val onTransactionRefused: () -> Unit = {},
 ) : KeyValueStore {
     private val log = LoggerFactory.getLogger("lichenstage.state")
+    private val refusalLog = RateLimitedLog.of("lichenstage.state", clock)
     private val requestClient =
         JsonHttpClient(vertx, address, maxConnections = REQUEST_CONNECTIONS, maxQueuedRequests = MAX_QUEUED_REQUESTS)
 
@@ -96,7 +100,9 @@
             }
 
             HttpStatus.BAD_REQUEST -> {
-                if (KeyValueStoreCodec.isLeaseMissing(body)) TransactionResult.LeaseExpired else TransactionResult.Conflict()
+                if (KeyValueStoreCodec.isLeaseMissing(body)) return TransactionResult.LeaseExpired
+                reportRefusal(preconditions, changes, request, body)
+                TransactionResult.Conflict()
             }
 
             HttpStatus.TOO_MANY_REQUESTS, HttpStatus.SERVICE_UNAVAILABLE -> {
@@ -109,6 +115,20 @@
         }
     }
 
+    /** Logs a transaction that the service refused as invalid, with its size, so that the limit that it exceeds can be found. */
+    private fun reportRefusal(
+        preconditions: List<Precondition>,
+        changes: List<Change>,
+        request: JsonObject,
+        response: JsonObject,
+    ) {
+        onTransactionRefused()
+        refusalLog.info {
+            "Transaction refused as invalid firstKey=${changes.firstOrNull()?.key} changes=${changes.size} " +
+                "preconditions=${preconditions.size} bytes=${request.toBuffer().length()} reason=${response.encode()}"
+        }
+    }
+
     /** Requests a lease that lasts [durationUs] without renewal. */
     suspend fun grantLease(durationUs: Long): LeaseGrant {
         val request = KeyValueStoreCodec.encodeLeaseRequest(durationUs)
