Split writes to the state service by size, and tell a refused transaction from a conflict

Cause: a transaction was filled up to the number of changes allowed (48) without a look at its size, so that 14 registry chunks made 88 KB where 64 KiB are allowed; and its 400 was taken for a conflict, after which the same chunks went out in the same transaction for good.

Change: TransactionLimits holds both limits, SingleWriterKeys and the commands of drains split by both, the registry takes only due chunks that fit and fills chunks by size as well as by number. TransactionResult.Invalid is not a conflict: the next batch is half as large (BatchSize), a registry chunk that is refused alone is split, and one with a single machine waits until it changes. SingleWriterKeys.write answers with a WriteOutcome. The stand-in for the state service enforces the limits of the protocol.

Why it works: every list of changes goes through the split, which counts an upper bound of the encoded size; what is refused all the same ends up alone.

--- a/src/main/kotlin/lichenstage/drain/DrainActionHandler.kt
+++ b/src/main/kotlin/lichenstage/drain/DrainActionHandler.kt
@@ -24,6 +24,5 @@
     val singleWriterKeys: SingleWriterKeys,
     /** Preconditions of every write. They fail once the leader's key no longer has the revision of this leader. */
     val leaderPreconditions: List<Precondition>,
-    val maxTransactionOperations: Int,
     val scan: suspend (String) -> ScanResult,
 )
--- a/src/main/kotlin/lichenstage/drain/DrainDriver.kt
+++ b/src/main/kotlin/lichenstage/drain/DrainDriver.kt
@@ -12,6 +12,7 @@
 import lichenstage.state.ScanResult
 import lichenstage.state.TransactionResult
 import lichenstage.state.UnreadableRecordException
+import lichenstage.state.WriteOutcome
 import org.slf4j.LoggerFactory
 import java.time.Instant
 import java.time.ZoneOffset
@@ -86,10 +87,8 @@
         if (changes.isEmpty()) return executeActions(isRecorded = true)
         isWriting = true
         scope.launch {
-            val isWritten =
-                changes.chunked(recordAccess.maxTransactionOperations).all {
-                    recordAccess.singleWriterKeys.write(recordAccess.leaderPreconditions, it, isUrgent = false)
-                }
+            val outcome = recordAccess.singleWriterKeys.write(recordAccess.leaderPreconditions, changes, isUrgent = false)
+            val isWritten = outcome == WriteOutcome.COMMITTED
             if (!isWritten) delay(RETRY_INTERVAL_MS)
             sendMessage(DrainMessage.StateRecorded(newValues, isWritten))
         }
--- a/src/main/kotlin/lichenstage/drain/DrainOperations.kt
+++ b/src/main/kotlin/lichenstage/drain/DrainOperations.kt
@@ -10,6 +10,7 @@
 import lichenstage.state.Precondition
 import lichenstage.state.ReadResult
 import lichenstage.state.ScanResult
+import lichenstage.state.TransactionLimits
 import lichenstage.state.TransactionResult
 import lichenstage.state.UnreadableRecordException
 
@@ -118,7 +119,7 @@
         val revisions = scanEntries("${DrainRecordCodec.MACHINE_PREFIX}${request.name}/").associate { it.key to it.modRevision }
         val changes = pages.map { Change.Put(it.key, it.value) } + (revisions.keys - pages.keys).map { Change.Delete(it) }
         val drainKey = DrainRecordCodec.DRAIN_PREFIX + request.name
-        for (batch in changes.chunked(settings.maxTransactionOperations)) {
+        for (batch in TransactionLimits(settings.maxTransactionOperations).split(changes)) {
             val preconditions = batch.map { Precondition(it.key, revisions[it.key] ?: Precondition.ABSENT) } + Precondition.absent(drainKey)
             commit(preconditions, batch)
         }
--- a/src/main/kotlin/lichenstage/jobs/JobLookup.kt
+++ b/src/main/kotlin/lichenstage/jobs/JobLookup.kt
@@ -138,7 +138,7 @@
                 null
             }
 
-            TransactionResult.LeaseExpired, TransactionResult.Rejected, TransactionResult.Indeterminate -> {
+            TransactionResult.LeaseExpired, TransactionResult.Invalid, TransactionResult.Rejected, TransactionResult.Indeterminate -> {
                 Reply.stateUnavailable()
             }
         }
--- a/src/main/kotlin/lichenstage/jobs/OpenRecordCheck.kt
+++ b/src/main/kotlin/lichenstage/jobs/OpenRecordCheck.kt
@@ -73,7 +73,7 @@
                     undecided = rest
                 }
 
-                TransactionResult.LeaseExpired, TransactionResult.Rejected, TransactionResult.Indeterminate -> {
+                TransactionResult.LeaseExpired, TransactionResult.Invalid, TransactionResult.Rejected, TransactionResult.Indeterminate -> {
                     undecided.forEach { it.result.complete(RecordState.UNKNOWN) }
                     return
                 }
--- a/src/main/kotlin/lichenstage/jobs/RecordLimits.kt
+++ b/src/main/kotlin/lichenstage/jobs/RecordLimits.kt
@@ -1,6 +1,7 @@
 package lichenstage.jobs
 
 import lichenstage.model.JobSpec
+import lichenstage.state.TransactionLimits
 
 /** A [field] of a submission that is too large, and the [reason] for the user. */
 data class OversizedField(
@@ -16,8 +17,10 @@
     maxTransactionOperations: Int,
     private val maxValueBytes: Int,
 ) {
+    private val transactionLimits = TransactionLimits(maxTransactionOperations)
+
     /** The maximum number of preconditions of one transaction. */
-    val maxPreconditions = maxTransactionOperations * PRECONDITIONS_PER_CHANGE
+    val maxPreconditions = transactionLimits.maxPreconditions
 
     /** The maximum number of dependencies of a job. Each can need a precondition, in addition to the two that check that the job is new. */
     val maxDependencies = maxPreconditions - OWN_PRECONDITIONS
@@ -31,14 +34,21 @@
             )
         }
         val recordBytes = encodedSizeBytes(spec)
-        if (recordBytes <= maxValueBytes) return null
+        val maxRecordBytes = maxRecordBytes(spec)
+        if (recordBytes <= maxRecordBytes) return null
         val field =
-            if (encodedSizeBytes(spec.copy(dependencies = emptyList())) <= maxValueBytes) {
+            if (encodedSizeBytes(spec.copy(dependencies = emptyList())) <= maxRecordBytes) {
                 SubmissionFields.DEPENDENCIES
             } else {
                 SubmissionFields.ALLOWED_TYPES
             }
-        return OversizedField(field, "$field: the record must take at most $maxValueBytes bytes, was $recordBytes")
+        return OversizedField(field, "$field: the record must take at most $maxRecordBytes bytes, was $recordBytes")
+    }
+
+    /** Returns the maximum size of the record of a job. Its transaction also has a precondition for each of the dependencies. */
+    private fun maxRecordBytes(spec: JobSpec): Int {
+        val preconditionBytes = spec.dependencies.sumOf { it.length + PRECONDITION_OVERHEAD_BYTES }
+        return minOf(maxValueBytes, transactionLimits.maxValueBytes - preconditionBytes)
     }
 
     private fun encodedSizeBytes(spec: JobSpec) =
@@ -49,7 +59,9 @@
             .size
 
     private companion object {
-        const val PRECONDITIONS_PER_CHANGE = 4
         const val OWN_PRECONDITIONS = 2
+
+        /** The size of an encoded precondition without the id of its job, in bytes. */
+        const val PRECONDITION_OVERHEAD_BYTES = 64
     }
 }
--- a/src/main/kotlin/lichenstage/jobs/SubmissionHandler.kt
+++ b/src/main/kotlin/lichenstage/jobs/SubmissionHandler.kt
@@ -94,7 +94,7 @@
                 reply.takeIf { spec.dependencies.isEmpty() || it.status == HttpStatus.OK }
             }
 
-            TransactionResult.LeaseExpired, TransactionResult.Rejected, TransactionResult.Indeterminate -> {
+            TransactionResult.LeaseExpired, TransactionResult.Invalid, TransactionResult.Rejected, TransactionResult.Indeterminate -> {
                 Reply.stateUnavailable()
             }
         }
--- a/src/main/kotlin/lichenstage/model/RegisteredMachine.kt
+++ b/src/main/kotlin/lichenstage/model/RegisteredMachine.kt
@@ -28,20 +28,18 @@
     private const val MACHINES = "machines"
 
     /** Returns the record of a registry chunk. */
-    fun encode(machines: List<RegisteredMachine>): JsonObject =
-        JsonObject().put(
-            MACHINES,
-            JsonArray(
-                machines.map {
-                    JsonArray()
-                        .add(it.name)
-                        .add(it.typeName)
-                        .add(it.zone)
-                        .add(it.isSpot)
-                        .add(it.address)
-                },
-            ),
-        )
+    fun encode(machines: List<RegisteredMachine>): JsonObject = JsonObject().put(MACHINES, JsonArray(machines.map(::encodeMachine)))
+
+    private fun encodeMachine(machine: RegisteredMachine) =
+        JsonArray()
+            .add(machine.name)
+            .add(machine.typeName)
+            .add(machine.zone)
+            .add(machine.isSpot)
+            .add(machine.address)
+
+    /** Returns the size of a machine in the record of a chunk, with a separator, in bytes. */
+    fun encodedBytes(machine: RegisteredMachine): Int = encodeMachine(machine).toBuffer().length() + 1
 
     /** Returns the machines of a registry chunk. Throws [JsonDecodingException] for the first machine that is malformed. */
     fun decode(value: JsonObject): List<RegisteredMachine> {
@@ -58,6 +56,8 @@
         return RegisteredMachine(row.getString(0), row.getString(1), row.getString(2), isSpot, row.getString(ADDRESS_INDEX))
     }
 
+    /** The size of the record of a chunk without machines, in bytes. */
+    val EMPTY_CHUNK_BYTES = encode(emptyList()).toBuffer().length()
     private const val EXPECTED_ROW = "a list of name, type, zone, whether it is a spot machine, and address"
     private const val FIELD_COUNT = 5
     private const val SPOT_INDEX = 3
--- a/src/main/kotlin/lichenstage/placement/CompletionRecorder.kt
+++ b/src/main/kotlin/lichenstage/placement/CompletionRecorder.kt
@@ -1,21 +1,24 @@
 package lichenstage.placement
 
 import lichenstage.jobs.CompletedTaskCodec
+import lichenstage.state.BatchSize
+import lichenstage.state.WriteOutcome
 import java.util.BitSet
 
 /**
- * The scheduler of the writes that record tasks as done. One batch holds at most [maxChangesPerTransaction] changes, unless a single job
- * needs more. The done tasks of an open job wait for at least [recordDelayUs] before they are recorded; the completion of a job does not
- * wait.
+ * The scheduler of the writes that record tasks as done. One batch holds at most as many changes as a transaction may have, unless a
+ * single job needs more. The done tasks of an open job wait for at least [recordDelayUs] before they are recorded; the completion of a job
+ * does not wait.
  */
 class CompletionRecorder(
-    private val maxChangesPerTransaction: Int,
+    maxChangesPerTransaction: Int,
     private val recordDelayUs: Long,
     private val maxValueBytes: Int,
     private val emit: (LeaderEffect) -> Unit,
 ) {
     /** Jobs with done tasks that are not recorded, each with the time at which its wait began, the oldest first. */
     private val unrecordedSinceUs = LinkedHashMap<Job, Long>()
+    private val batchSize = BatchSize(maxChangesPerTransaction)
     private var isChunkWriteInFlight = false
 
     /** Marks the job as having unrecorded done tasks since [sinceUs]. If the job is marked already, the earlier time stays. */
@@ -60,13 +63,13 @@
         // This runs after every message, so it visits only the jobs that are due. The oldest come first.
         val dueJobs = unrecordedSinceUs.entries.takeWhile { nowUs - it.value >= recordDelayUs }.map { it.key }
         for (job in dueJobs.filter { !it.allTasksDone }) {
-            if (changeCount >= maxChangesPerTransaction) break
+            if (changeCount >= batchSize.current) break
             val delta = createDelta(job)
             if (delta.chunks.isEmpty()) {
                 // The new ranges do not fit into their chunks. The job is tried again when another of its tasks is done.
                 unrecordedSinceUs.remove(job)
             } else {
-                if (changeCount + delta.chunks.size > maxChangesPerTransaction && deltas.isNotEmpty()) break
+                if (changeCount + delta.chunks.size > batchSize.current && deltas.isNotEmpty()) break
                 changeCount += delta.chunks.size
                 deltas += delta
             }
@@ -112,13 +115,14 @@
     /** Handles the outcome of the write of a batch. Jobs that still have unrecorded done tasks wait again from [nowUs]. */
     fun onCompletionChunksWritten(
         deltas: List<CompletionDelta>,
-        isCommitted: Boolean,
+        outcome: WriteOutcome,
         nowUs: Long,
     ) {
         isChunkWriteInFlight = false
+        batchSize.onWritten(outcome)
         for ((job, recordedTasks) in deltas) {
             job.isChunkWriteInFlight = false
-            if (isCommitted) job.recordedTasks.or(recordedTasks)
+            if (outcome == WriteOutcome.COMMITTED) job.recordedTasks.or(recordedTasks)
             if (job.phase == JobPhase.OPEN && job.doneTasks.cardinality() != job.recordedTasks.cardinality()) markUnrecorded(job, nowUs)
         }
     }
--- a/src/main/kotlin/lichenstage/placement/DrainDriverFactory.kt
+++ b/src/main/kotlin/lichenstage/placement/DrainDriverFactory.kt
@@ -58,7 +58,6 @@
             store,
             singleWriterKeys,
             listOf(Precondition(OwnershipRecords.LEADER_KEY, leaderKeyRevision)),
-            settings.maxTransactionOperations,
             store::scan,
         )
     }
--- a/src/main/kotlin/lichenstage/placement/DurableMachineRegistry.kt
+++ b/src/main/kotlin/lichenstage/placement/DurableMachineRegistry.kt
@@ -3,9 +3,12 @@
 import lichenstage.common.JsonDecodingException
 import lichenstage.model.MachineRecordCodec
 import lichenstage.model.RegisteredMachine
+import lichenstage.state.BatchSize
 import lichenstage.state.Change
 import lichenstage.state.Entry
+import lichenstage.state.TransactionLimits
 import lichenstage.state.UnreadableRecordException
+import lichenstage.state.WriteOutcome
 
 /** One registry chunk to write, stored under one key. A chunk without machines is deleted. */
 data class RegistryChunk(
@@ -22,9 +25,12 @@
  */
 class DurableMachineRegistry(
     maxValueBytes: Int,
+    private val limits: TransactionLimits,
 ) {
     private val maxMachinesPerChunk = (maxValueBytes / MAX_MACHINE_BYTES).coerceIn(1, MAX_MACHINES_PER_CHUNK)
-    private val machinesByChunk = HashMap<String, LinkedHashMap<String, RegisteredMachine>>()
+    private val maxChunkBytes = minOf(maxValueBytes, limits.maxValueBytes)
+    private val batchSize = BatchSize(limits.maxChanges)
+    private val machinesByChunk = HashMap<String, MachineChunk>()
     private val chunkOfMachine = HashMap<String, String>()
     private val unwrittenChunks = LinkedHashSet<String>()
 
@@ -42,12 +48,12 @@
     /** Loads a chunk that an earlier leader wrote. Throws [UnreadableRecordException] if the chunk cannot be decoded. */
     fun load(entry: Entry): List<RegisteredMachine> {
         val machines = decode(entry)
-        val chunk = LinkedHashMap<String, RegisteredMachine>()
+        val chunk = MachineChunk()
         machinesByChunk[entry.key] = chunk
         for (machine in machines) {
             // An interrupted move leaves a machine in two chunks. Only the chunk that is loaded first keeps the machine, because a removal
             // would not delete a second copy.
-            if (chunkOfMachine.putIfAbsent(machine.name, entry.key) == null) chunk[machine.name] = machine else unwrittenChunks += entry.key
+            if (chunkOfMachine.putIfAbsent(machine.name, entry.key) == null) chunk.add(machine) else unwrittenChunks += entry.key
         }
         return machines
     }
@@ -64,28 +70,37 @@
      * all chunks are loaded. Earlier versions of the service can read the resulting chunks.
      */
     fun splitOversizedChunks() {
-        for ((key, chunk) in machinesByChunk.filterValues { it.size > maxMachinesPerChunk }) {
-            val surplusMachines = chunk.values.drop(maxMachinesPerChunk)
-            surplusMachines.forEach { chunk.remove(it.name) }
-            surplusMachines.forEach(::add)
-            chunksWithMovedMachines += key
+        for ((key, chunk) in machinesByChunk.filterValues { it.exceeds(maxMachinesPerChunk, maxChunkBytes) }) {
+            moveMachines(key, chunk.removeSurplus(maxMachinesPerChunk, maxChunkBytes))
         }
     }
 
+    /** Adds [machines], which were removed from the chunk [key], to other chunks. */
+    private fun moveMachines(
+        key: String,
+        machines: List<RegisteredMachine>,
+    ) {
+        machines.forEach(::add)
+        chunksWithMovedMachines += key
+    }
+
     /** Whether chunks are due to be written. */
     val hasUnwrittenChunks get() = unwrittenChunks.isNotEmpty() || chunksWithMovedMachines.isNotEmpty()
 
     /** Adds a machine that is to be recorded. */
     fun add(machine: RegisteredMachine) {
-        val key = machinesByChunk.entries.firstOrNull { it.value.size < maxMachinesPerChunk }?.key ?: createChunk()
-        machinesByChunk.getValue(key)[machine.name] = machine
+        val key = machinesByChunk.entries.firstOrNull { it.value.hasRoomFor(machine) }?.key ?: createChunk()
+        machinesByChunk.getValue(key).add(machine)
         chunkOfMachine[machine.name] = key
         unwrittenChunks += key
     }
 
+    private fun MachineChunk.hasRoomFor(machine: RegisteredMachine) =
+        size < minOf(maxMachinesPerChunk, maxMachines) && bytes + MachineRecordCodec.encodedBytes(machine) <= maxChunkBytes
+
     private fun createChunk(): String {
         val key = MachineRecordCodec.PREFIX + generateSequence(0) { it + 1 }.first { MachineRecordCodec.PREFIX + it !in machinesByChunk }
-        machinesByChunk[key] = LinkedHashMap()
+        machinesByChunk[key] = MachineChunk()
         return key
     }
 
@@ -99,19 +114,40 @@
     }
 
     /**
-     * Returns up to [maxChunks] chunks that differ from their records. They are no longer due unless [onWriteFailed] is called with them.
+     * Returns chunks that differ from their records and that fit into one transaction. They are no longer due unless [onWritten] says that
+     * they are not committed.
      */
-    fun takeDueChunks(maxChunks: Int): List<RegistryChunk> {
-        val chunksWithoutMoves = unwrittenChunks.filter { it !in chunksWithMovedMachines }.take(maxChunks)
-        val keys = chunksWithoutMoves.ifEmpty { (unwrittenChunks + chunksWithMovedMachines).take(maxChunks) }
-        unwrittenChunks -= keys.toSet()
-        if (chunksWithoutMoves.isEmpty()) chunksWithMovedMachines -= keys.toSet()
-        return keys.map { key -> RegistryChunk(key, machinesByChunk.getValue(key).values.toList()) }
+    fun takeDueChunks(): List<RegistryChunk> {
+        val keysWithoutMoves = unwrittenChunks.filter { it !in chunksWithMovedMachines }
+        val dueKeys = keysWithoutMoves.ifEmpty { unwrittenChunks + chunksWithMovedMachines }
+        val chunks = dueKeys.asSequence().take(batchSize.current).map { RegistryChunk(it, machinesByChunk.getValue(it).machines) }
+        val taken = limits.takeFitting(chunks.asIterable()) { it.change }
+        val takenKeys = taken.mapTo(HashSet()) { it.key }
+        unwrittenChunks -= takenKeys
+        if (keysWithoutMoves.isEmpty()) chunksWithMovedMachines -= takenKeys
+        return taken
+    }
+
+    /** Handles the outcome of writing [chunks]. Chunks that are not committed are due again, after the chunks that are due already. */
+    fun onWritten(
+        chunks: List<RegistryChunk>,
+        outcome: WriteOutcome,
+    ) {
+        batchSize.onWritten(outcome)
+        when {
+            outcome == WriteOutcome.COMMITTED -> Unit
+            outcome == WriteOutcome.INVALID && chunks.size == 1 -> onChunkRefused(chunks.single().key)
+            else -> unwrittenChunks += chunks.map { it.key }
+        }
     }
 
-    /** Marks chunks that could not be written as due again. */
-    fun onWriteFailed(failedChunks: List<RegistryChunk>) {
-        unwrittenChunks += failedChunks.map { it.key }
+    /**
+     * Handles a chunk that the state service has refused although it was alone in its transaction. Half of its machines move to other
+     * chunks. A chunk that has only one machine left is not due again before it changes, since the same record would be refused again.
+     */
+    private fun onChunkRefused(key: String) {
+        val chunk = machinesByChunk.getValue(key)
+        if (chunk.size > 1) moveMachines(key, chunk.removeHalf())
     }
 
     private companion object {
--- a/src/main/kotlin/lichenstage/placement/DurableMachineRegistryDriver.kt
+++ b/src/main/kotlin/lichenstage/placement/DurableMachineRegistryDriver.kt
@@ -3,6 +3,8 @@
 import lichenstage.config.Settings
 import lichenstage.model.RegisteredMachine
 import lichenstage.state.Entry
+import lichenstage.state.TransactionLimits
+import lichenstage.state.WriteOutcome
 import org.slf4j.LoggerFactory
 
 /**
@@ -18,7 +20,7 @@
     private val recordWriter: LeaderRecordWriter,
 ) {
     private val log = LoggerFactory.getLogger("lichenstage.placement")
-    private val registry = DurableMachineRegistry(settings.maxValueBytes)
+    private val registry = DurableMachineRegistry(settings.maxValueBytes, TransactionLimits(settings.maxTransactionOperations))
     private var isWriteInFlight = false
     private var lastStepAtUs = Long.MIN_VALUE / 2
 
@@ -56,7 +58,7 @@
                 RegisteredMachine(machine.name, machine.typeName, settings.assignment.zoneOf(partition)!!, machine.isSpot, machine.address),
             )
         }
-        val chunks = registry.takeDueChunks(settings.maxTransactionOperations)
+        val chunks = registry.takeDueChunks()
         if (chunks.isEmpty()) return
         isWriteInFlight = true
         recordWriter.writeRegistryChunks(chunks)
@@ -66,13 +68,14 @@
     fun onChunksWritten(message: LeaderMessage.RegistryChunksWritten) {
         isWriteInFlight = false
         log.debug(
-            "Registry write ended isCommitted={} chunks={} machines={} registered={}",
-            message.isCommitted,
+            "Registry write ended outcome={} chunks={} machines={} registered={}",
+            message.outcome,
             message.chunks.size,
             message.chunks.sumOf { it.machines.size },
             core.machines.registeredCount,
         )
-        if (!message.isCommitted) return registry.onWriteFailed(message.chunks)
+        registry.onWritten(message.chunks, message.outcome)
+        if (message.outcome != WriteOutcome.COMMITTED) return
         val addedMachines = message.chunks.flatMap { it.machines }.filter { !core.machines.isRegistered(it.name) }
         core.onMachinesRegistered(addedMachines.associate { it.name to settings.assignment.partitionOf(it.name, it.zone)!! })
     }
--- a/src/main/kotlin/lichenstage/placement/LeaderActor.kt
+++ b/src/main/kotlin/lichenstage/placement/LeaderActor.kt
@@ -14,6 +14,7 @@
 import lichenstage.drain.DrainDriver
 import lichenstage.model.MachineFit
 import lichenstage.state.SingleWriterKeys
+import lichenstage.state.TransactionLimits
 import org.slf4j.LoggerFactory
 import kotlinx.coroutines.Job as CoroutineJob
 
@@ -32,13 +33,12 @@
     private val core = createLeaderCore(options)
     private val mailbox =
         Mailbox("leader", scope, ::handle, tryDrop = { it is LeaderMessage.PartitionFrameReceived || it is LeaderMessage.Tick })
-    private val singleWriterKeys = SingleWriterKeys(services.store)
+    private val singleWriterKeys = SingleWriterKeys(services.store, TransactionLimits(settings.maxTransactionOperations))
     private val recordWriter =
         LeaderRecordWriter(
             services.store,
             singleWriterKeys,
             leadership.leaderKeyRevision,
-            settings.maxTransactionOperations,
             scope,
             services.replicaSync::onJobFinished,
             mailbox::tell,
@@ -52,7 +52,7 @@
             core,
             fleetDriver,
             recordWriter,
-            maxOf(1, settings.maxTransactionOperations / 2),
+            (settings.maxTransactionOperations / 2).coerceIn(1, MAX_CANCELLATIONS_PER_TRANSACTION),
         )
     private var lastCountsSentAtUs = Long.MIN_VALUE / 2
 
@@ -83,7 +83,7 @@
                 options.placementSettings,
                 serviceObjectives,
                 settings.maxTransactionOperations,
-                settings.maxValueBytes,
+                minOf(settings.maxValueBytes, TransactionLimits(settings.maxTransactionOperations).maxValueBytes),
             ),
             LeaderLookups(
                 { catalog.machineTypes[it]?.capacity },
@@ -173,6 +173,9 @@
 
     private companion object {
         const val TICK_MS = 100L
+
+        /** Each cancellation has two changes and a precondition, which take less than 1 KiB together. */
+        const val MAX_CANCELLATIONS_PER_TRANSACTION = 60
         const val TASK_COUNTS_INTERVAL_US = 2_000_000L
     }
 }
--- a/src/main/kotlin/lichenstage/placement/LeaderCore.kt
+++ b/src/main/kotlin/lichenstage/placement/LeaderCore.kt
@@ -5,6 +5,7 @@
 import lichenstage.common.MILLI
 import lichenstage.common.SECOND
 import lichenstage.model.JobRequirements
+import lichenstage.state.WriteOutcome
 import org.slf4j.LoggerFactory
 
 /**
@@ -274,15 +275,15 @@
     }
 
     /**
-     * Handles the outcome of the write that records [deltas]. If it [isCommitted], the workers may clear these tasks (invariant 9).
+     * Handles the outcome of the write that records [deltas]. If it is committed, the workers may clear these tasks (invariant 9).
      */
     fun onCompletionChunksWritten(
         deltas: List<CompletionDelta>,
-        isCommitted: Boolean,
+        outcome: WriteOutcome,
         nowUs: Long,
     ) {
-        completionRecorder.onCompletionChunksWritten(deltas, isCommitted, nowUs)
-        if (isCommitted) deltas.forEach { if (it.job.phase == JobPhase.OPEN) reconciler.reconcileMachinesOf(it.job) }
+        completionRecorder.onCompletionChunksWritten(deltas, outcome, nowUs)
+        if (outcome == WriteOutcome.COMMITTED) deltas.forEach { if (it.job.phase == JobPhase.OPEN) reconciler.reconcileMachinesOf(it.job) }
     }
 
     /** Handles the successful write of the job's completion: logs the job's times and closes it. */
--- a/src/main/kotlin/lichenstage/placement/LeaderJobRecordHandler.kt
+++ b/src/main/kotlin/lichenstage/placement/LeaderJobRecordHandler.kt
@@ -74,7 +74,7 @@
             }
 
             is LeaderMessage.CompletionChunksWritten -> {
-                core.onCompletionChunksWritten(message.deltas, message.isCommitted, nowUs)
+                core.onCompletionChunksWritten(message.deltas, message.outcome, nowUs)
                 message.deltas.filter { it.job.phase == JobPhase.CLOSED }.forEach { recordWriter.deleteCompletionChunks(it.job) }
             }
 
--- a/src/main/kotlin/lichenstage/placement/LeaderMessage.kt
+++ b/src/main/kotlin/lichenstage/placement/LeaderMessage.kt
@@ -9,6 +9,7 @@
 import lichenstage.drain.DrainMessage
 import lichenstage.state.Entry
 import lichenstage.state.TransactionResult
+import lichenstage.state.WriteOutcome
 
 /** A message to the leader's actor: from another actor or controller, or the outcome of one of its own calls. */
 sealed interface LeaderMessage {
@@ -60,7 +61,7 @@
     /** The outcome of a write of completion chunks. */
     data class CompletionChunksWritten(
         val deltas: List<CompletionDelta>,
-        val isCommitted: Boolean,
+        val outcome: WriteOutcome,
     ) : JobMessage
 
     /** The outcome of the transaction that records a job as done. [isStillOpen] is true unless the open record is known to be deleted. */
@@ -73,7 +74,7 @@
     /** The outcome of a write of registry chunks. */
     data class RegistryChunksWritten(
         val chunks: List<RegistryChunk>,
-        val isCommitted: Boolean,
+        val outcome: WriteOutcome,
     ) : LeaderMessage
 
     /** The cloud's reply to a provision request. */
--- a/src/main/kotlin/lichenstage/placement/LeaderRecordWriter.kt
+++ b/src/main/kotlin/lichenstage/placement/LeaderRecordWriter.kt
@@ -16,6 +16,7 @@
 import lichenstage.state.ReadResult
 import lichenstage.state.SingleWriterKeys
 import lichenstage.state.TransactionResult
+import lichenstage.state.WriteOutcome
 
 /**
  * Writes the leader's records: completion chunks, finished jobs and registry chunks.
@@ -28,7 +29,6 @@
     private val singleWriterKeys: SingleWriterKeys,
     /** The revision of the leadership's key. */
     leaderKeyRevision: Long,
-    private val maxChangesPerTransaction: Int,
     private val scope: CoroutineScope,
     private val onJobFinished: (String, JobOutcome) -> Unit,
     private val tell: (LeaderMessage) -> Unit,
@@ -47,9 +47,9 @@
                         )
                     }
                 }
-            val isCommitted = writeAll(puts)
-            if (!isCommitted) delay(RETRY_MS)
-            tell(LeaderMessage.CompletionChunksWritten(deltas, isCommitted))
+            val outcome = write(puts)
+            if (outcome != WriteOutcome.COMMITTED) delay(RETRY_MS)
+            tell(LeaderMessage.CompletionChunksWritten(deltas, outcome))
         }
     }
 
@@ -102,9 +102,9 @@
     /** Writes registry chunks. The outcome arrives as [LeaderMessage.RegistryChunksWritten]. */
     fun writeRegistryChunks(chunks: List<RegistryChunk>) {
         scope.launch {
-            val isCommitted = singleWriterKeys.write(listOf(leadershipPrecondition), chunks.map { it.change }, isUrgent = true)
-            if (!isCommitted) delay(RETRY_MS)
-            tell(LeaderMessage.RegistryChunksWritten(chunks, isCommitted))
+            val outcome = singleWriterKeys.write(listOf(leadershipPrecondition), chunks.map { it.change }, isUrgent = true)
+            if (outcome != WriteOutcome.COMMITTED) delay(RETRY_MS)
+            tell(LeaderMessage.RegistryChunksWritten(chunks, outcome))
         }
     }
 
@@ -119,13 +119,10 @@
 
     /** Deletes completion chunks that are no longer needed. */
     fun deleteKeys(keys: List<String>) {
-        if (keys.isNotEmpty()) scope.launch { writeAll(keys.map { Change.Delete(it) }) }
+        if (keys.isNotEmpty()) scope.launch { write(keys.map { Change.Delete(it) }) }
     }
 
-    private suspend fun writeAll(changes: List<Change>): Boolean {
-        val preconditions = listOf(leadershipPrecondition)
-        return changes.chunked(maxChangesPerTransaction).all { singleWriterKeys.write(preconditions, it, isUrgent = false) }
-    }
+    private suspend fun write(changes: List<Change>) = singleWriterKeys.write(listOf(leadershipPrecondition), changes, isUrgent = false)
 
     private companion object {
         const val RETRY_MS = 300L
--- a/src/main/kotlin/lichenstage/state/KeyValueStoreClient.kt
+++ b/src/main/kotlin/lichenstage/state/KeyValueStoreClient.kt
@@ -102,7 +102,7 @@
             HttpStatus.BAD_REQUEST -> {
                 if (KeyValueStoreCodec.isLeaseMissing(body)) return TransactionResult.LeaseExpired
                 reportRefusal(preconditions, changes, request, body)
-                TransactionResult.Conflict()
+                TransactionResult.Invalid
             }
 
             HttpStatus.TOO_MANY_REQUESTS, HttpStatus.SERVICE_UNAVAILABLE -> {
--- a/src/main/kotlin/lichenstage/state/KeyValueStoreCodec.kt
+++ b/src/main/kotlin/lichenstage/state/KeyValueStoreCodec.kt
@@ -31,6 +31,9 @@
     private const val DELETE = "delete"
     private const val NO_SUCH_LEASE = "no such lease"
 
+    /** The commas after a change and after its precondition. */
+    private const val SEPARATOR_BYTES = 2
+
     /** Returns the path of one key. */
     fun keyPath(key: String) = "/kv/$key"
 
@@ -71,6 +74,12 @@
             is Change.Delete -> JsonObject().put(DELETE, change.key)
         }
 
+    /** Returns an upper bound for the encoded size of a change and of a precondition on its key, in bytes. */
+    fun maxEncodedBytes(change: Change): Int {
+        val precondition = JsonObject().put(KEY, change.key).put(MOD_REVISION, Long.MAX_VALUE)
+        return encodeChange(change).toBuffer().length() + precondition.toBuffer().length() + SEPARATOR_BYTES
+    }
+
     /** Returns the body of a request for a lease that lasts [durationUs]. */
     fun encodeLeaseRequest(durationUs: Long): JsonObject = JsonObject().put("life_ms", durationUs / MILLI)
 
--- a/src/main/kotlin/lichenstage/state/SingleWriterKeys.kt
+++ b/src/main/kotlin/lichenstage/state/SingleWriterKeys.kt
@@ -13,6 +13,7 @@
  */
 class SingleWriterKeys(
     private val store: KeyValueStore,
+    private val limits: TransactionLimits,
 ) {
     /** The revision of each key that exists. */
     private val modRevisions = HashMap<String, Long>()
@@ -23,22 +24,50 @@
     /** Sets the revisions of existing keys, read before the first [write]. */
     fun load(entries: List<Entry>) = entries.forEach { modRevisions[it.key] = it.modRevision }
 
-    /** Writes [changes] in one transaction under [preconditions]. Returns true only if the transaction is known to be committed. */
+    /**
+     * Writes [changes] under [preconditions], in as many transactions as the limits of the state service require. Stops at the first
+     * transaction that is not known to be committed.
+     */
     suspend fun write(
         preconditions: List<Precondition>,
         changes: List<Change>,
         isUrgent: Boolean,
-    ): Boolean {
+    ): WriteOutcome {
+        for (batch in limits.split(changes)) {
+            val outcome = writeBatch(preconditions, batch, isUrgent)
+            if (outcome != WriteOutcome.COMMITTED) return outcome
+        }
+        return WriteOutcome.COMMITTED
+    }
+
+    private suspend fun writeBatch(
+        preconditions: List<Precondition>,
+        changes: List<Change>,
+        isUrgent: Boolean,
+    ): WriteOutcome {
         val keys = changes.map { it.key }
-        for (key in keys) if (key in keysToReread && !reread(key)) return false
+        for (key in keys) if (key in keysToReread && !reread(key)) return WriteOutcome.FAILED
         val unchanged = keys.map { Precondition(it, modRevisions[it] ?: Precondition.ABSENT) }
         val result = store.commit(preconditions + unchanged, changes, isUrgent = isUrgent)
-        if (result is TransactionResult.Committed) {
-            changes.forEach { if (it is Change.Put) modRevisions[it.key] = result.revision else modRevisions.remove(it.key) }
-        } else if (result !is TransactionResult.Rejected) {
-            keysToReread += keys
+        when (result) {
+            is TransactionResult.Committed -> {
+                changes.forEach { if (it is Change.Put) modRevisions[it.key] = result.revision else modRevisions.remove(it.key) }
+                return WriteOutcome.COMMITTED
+            }
+
+            TransactionResult.Invalid -> {
+                return WriteOutcome.INVALID
+            }
+
+            TransactionResult.Rejected -> {
+                Unit
+            }
+
+            is TransactionResult.Conflict, TransactionResult.LeaseExpired, TransactionResult.Indeterminate -> {
+                keysToReread += keys
+            }
         }
-        return result is TransactionResult.Committed
+        return WriteOutcome.FAILED
     }
 
     private suspend fun reread(key: String): Boolean {
--- a/src/main/kotlin/lichenstage/state/Transaction.kt
+++ b/src/main/kotlin/lichenstage/state/Transaction.kt
@@ -51,6 +51,12 @@
     /** The lease of a put has ended, and nothing was applied. */
     data object LeaseExpired : TransactionResult
 
+    /**
+     * The service refused the transaction as invalid, for example because it is too large, and nothing was applied. The same transaction
+     * would be refused again.
+     */
+    data object Invalid : TransactionResult
+
     /** The service refused the request because of its load or rate limits, and nothing was applied. */
     data object Rejected : TransactionResult
 
--- a/src/test/kotlin/lichenstage/drain/DrainDriverTest.kt
+++ b/src/test/kotlin/lichenstage/drain/DrainDriverTest.kt
@@ -10,6 +10,7 @@
 import lichenstage.state.Precondition
 import lichenstage.state.ScanResult
 import lichenstage.state.SingleWriterKeys
+import lichenstage.state.TransactionLimits
 import lichenstage.state.TransactionResult
 import net.jqwik.api.Example
 import org.junit.jupiter.api.Assertions.assertEquals
@@ -67,7 +68,7 @@
 
     private fun driver(): DrainDriver {
         val leaderPreconditions = listOf(Precondition("c/leader", store.entries.getValue("c/leader").modRevision))
-        val access = DrainRecordAccess(codec, store, SingleWriterKeys(store), leaderPreconditions, 4) { store.scan(it) }
+        val access = DrainRecordAccess(codec, store, SingleWriterKeys(store, TransactionLimits(4)), leaderPreconditions) { store.scan(it) }
         lateinit var driver: DrainDriver
         driver = DrainDriver(DrainPolicy(), cluster, access, actionHandler, DrainTracing(), scope, { nowUs }) { driver.handle(it) }
         return driver
--- a/src/test/kotlin/lichenstage/standin/StateStandIn.kt
+++ b/src/test/kotlin/lichenstage/standin/StateStandIn.kt
@@ -7,10 +7,15 @@
 import io.vertx.core.json.JsonObject
 import java.util.TreeMap
 
-/** A stand-in for the state service, written from its protocol: keys, transactions with preconditions, leases and watches. */
+/**
+ * A stand-in for the state service, written from its protocol: keys, transactions with preconditions, leases and watches. A transaction
+ * that exceeds a limit is refused with status 400, as the protocol says. [maxChanges] and [maxValueBytes] are limits of the deployment.
+ */
 internal class StateStandIn(
     private val vertx: Vertx,
     private val port: Int,
+    private val maxChanges: Int = 48,
+    private val maxValueBytes: Int = 16 * 1024,
 ) {
     /** The value of a key. [revision] is that of its last change. The key is deleted when [lease] ends; null if it has no lease. */
     private class Row(
@@ -106,11 +111,12 @@
         body: JsonObject,
     ) {
         val preconditions = (body.getJsonArray("guards") ?: JsonArray()).map { it as JsonObject }
+        val operations = (body.getJsonArray("then") ?: JsonArray()).map { it as JsonObject }
+        findExceededLimit(body, preconditions, operations)?.let { return reply(request, 400, JsonObject().put("error", it)) }
         val failedKeys = preconditions.filter { (rows[it.getString("k")]?.revision ?: 0L) != it.getLong("stamp") }.map { it.getString("k") }
         if (failedKeys.isNotEmpty()) {
             return reply(request, 409, JsonObject().put("failed", JsonArray(failedKeys)).put("ledger_rev", revision))
         }
-        val operations = (body.getJsonArray("then") ?: JsonArray()).map { it as JsonObject }
         if (operations.any { it.getLong("tenancy") != null && it.getLong("tenancy") !in leases }) {
             return reply(request, 400, JsonObject().put("error", "no such lease"))
         }
@@ -128,6 +134,20 @@
         notifyWatches()
     }
 
+    /** Returns which limit a transaction exceeds; null if it exceeds none. */
+    private fun findExceededLimit(
+        body: JsonObject,
+        preconditions: List<JsonObject>,
+        operations: List<JsonObject>,
+    ): String? =
+        when {
+            body.toBuffer().length() > MAX_TRANSACTION_BYTES -> "transaction too large"
+            operations.size > maxChanges -> "too many changes"
+            preconditions.size > PRECONDITIONS_PER_CHANGE * maxChanges -> "too many preconditions"
+            operations.any { (it.getJsonObject("value")?.toBuffer()?.length() ?: 0) > maxValueBytes } -> "value too large"
+            else -> null
+        }
+
     private fun delete(key: String) {
         if (rows.remove(key) != null) changes += Change(key, revision, null)
     }
@@ -221,6 +241,8 @@
 
     private companion object {
         const val EXPIRY_CHECK_MS = 50L
+        const val MAX_TRANSACTION_BYTES = 64 * 1024
+        const val PRECONDITIONS_PER_CHANGE = 4
         const val DEFAULT_PAGE_SIZE = 1000
     }
 }
--- a/src/test/kotlin/lichenstage/state/SingleWriterKeysTest.kt
+++ b/src/test/kotlin/lichenstage/state/SingleWriterKeysTest.kt
@@ -2,8 +2,10 @@
 
 import io.vertx.core.json.JsonObject
 import kotlinx.coroutines.runBlocking
+import net.jqwik.api.Example
 import net.jqwik.api.ForAll
 import net.jqwik.api.Property
+import org.junit.jupiter.api.Assertions.assertEquals
 import org.junit.jupiter.api.Assertions.assertTrue
 import java.util.Random
 
@@ -44,7 +46,7 @@
     ) = runBlocking {
         val random = Random(seed)
         val store = DelayedCommitStore(random)
-        val singleWriterKeys = SingleWriterKeys(store)
+        val singleWriterKeys = SingleWriterKeys(store, TransactionLimits(12))
         val lastCommittedStep = HashMap<String, Int>()
 
         fun check(step: Int) =
@@ -55,7 +57,8 @@
         var commits = 0
         repeat(120) { step ->
             val keys = listOf("m/0", "m/1", "d/j-1/0").shuffled(random).take(1 + random.nextInt(3))
-            if (singleWriterKeys.write(emptyList(), keys.map { Change.Put(it, JsonObject().put("n", step)) }, isUrgent = true)) {
+            val changes = keys.map { Change.Put(it, JsonObject().put("n", step)) }
+            if (singleWriterKeys.write(emptyList(), changes, isUrgent = true) == WriteOutcome.COMMITTED) {
                 commits++
                 keys.forEach { lastCommittedStep[it] = step }
             }
@@ -65,4 +68,20 @@
         check(120)
         assertTrue(commits > 10) { "seed $seed: only $commits writes were committed" }
     }
+
+    /** Completion chunks of large jobs take 2.7 KB each, and a transaction may have 48 changes but only 64 KiB. */
+    @Example
+    fun `a write that is too large for one transaction is committed in several`() =
+        runBlocking {
+            val store = LimitedStore(maxChanges = 48, maxValueBytes = 16 * 1024)
+            val changes = List(48) { Change.Put("d/j-$it/0", JsonObject().put("bits", "A".repeat(2732))) }
+            val outcome =
+                SingleWriterKeys(
+                    store,
+                    TransactionLimits(48),
+                ).write(listOf(Precondition("c/leader", 0)), changes, isUrgent = false)
+            assertEquals(WriteOutcome.COMMITTED, outcome)
+            assertEquals(48, store.entries.size)
+            assertEquals(0, store.refusals)
+        }
 }
--- a/src/test/kotlin/lichenstage/world/SimulatedLeadership.kt
+++ b/src/test/kotlin/lichenstage/world/SimulatedLeadership.kt
@@ -14,6 +14,7 @@
 import lichenstage.placement.LeaderTerm
 import lichenstage.placement.PlacementSettings
 import lichenstage.placement.ServiceObjectives
+import lichenstage.state.WriteOutcome
 import lichenstage.world.SimulationContext.Companion.MACHINE_CORES
 import lichenstage.world.SimulationContext.Companion.MACHINE_MEMORY_GB
 import lichenstage.world.SimulationContext.Companion.WORKER_LEASE_US
@@ -208,7 +209,10 @@
                 write(
                     term,
                     { effect.deltas.forEach(::recordDoneTasks) },
-                ) { leader, isWritten -> leader.onCompletionChunksWritten(effect.deltas, isWritten, nowUs) }
+                ) { leader, isWritten ->
+                    val outcome = if (isWritten) WriteOutcome.COMMITTED else WriteOutcome.FAILED
+                    leader.onCompletionChunksWritten(effect.deltas, outcome, nowUs)
+                }
             }
 
             is LeaderEffect.RecordJobCompletion -> {
