Request capacity for jobs behind those that cannot be placed

Cause: each round of placement requests took the first 24 jobs of the queue and never passed over one that had got nothing, so that 24 jobs that cannot be placed, whatever the reason, took every round for good.

Change: of the 24 places 16 go to the first jobs of the queue as before, 4 to the next jobs whose kind of request is not known to be unplaced, and 4 to kinds that are, one job of each, the least recently requested first. A kind is all that decides which machines fit. While kinds are left out and nothing changes, rounds follow after 250 ms in place of a second.

Why it works: a job is requested within as many rounds as there are kinds for each of 4 places, however many jobs are before it; the first of the queue keep their places and their order, so that what becomes free still goes to them.

--- a/src/main/kotlin/lichenstage/placement/Job.kt
+++ b/src/main/kotlin/lichenstage/placement/Job.kt
@@ -31,6 +31,9 @@
         readyAtUs = maxOf(recordedAtUs, submittedAtUs)
     }
 
+    /** The kind of the requests for its tasks. */
+    val requestKind = RequestKind.of(spec)
+
     var phase = JobPhase.OPEN
 
     /** Indices of the tasks that are done, recorded or not. */
--- a/src/main/kotlin/lichenstage/placement/RequestPlanner.kt
+++ b/src/main/kotlin/lichenstage/placement/RequestPlanner.kt
@@ -19,16 +19,15 @@
     private val zones: ZoneConstraints,
     private val fetchUs: (JobSpec) -> Long,
 ) {
-    /** The decision to request capacity for [taskCount] tasks of a job. */
-    private class PlannedRequest(
-        val job: Job,
-        val taskCount: Int,
-    )
-
+    private val unplacedKinds = UnplacedKinds()
+    private val jobSelector = RoundJobSelector(settings.maxJobsPerRound, unplacedKinds)
     private var requestCounter = 0L
 
+    /** Whether the last plan has left out a kind of request, so that the next round should follow soon. */
+    val hasLeftOutKinds get() = jobSelector.hasLeftOutKinds
+
     /**
-     * Returns the placement requests for the first of [jobs], within the limits of their teams.
+     * Returns the placement requests for some of [jobs], which [RoundJobSelector] selects, within the limits of their teams.
      *
      * @param allowedTasks returns how many tasks of a job its team may start in addition to the resources already planned for the team in
      *   this round
@@ -39,19 +38,24 @@
         allowedTasks: (JobSpec, Resources) -> Int,
     ): List<JobRequest> {
         val plannedByTeam = HashMap<String, Resources>()
-        val plannedRequests = ArrayList<PlannedRequest>()
-        for (job in jobs) {
-            if (plannedRequests.size >= settings.maxJobsPerRound) break
-            val spec = job.spec
-            val plannedResources = plannedByTeam[spec.team] ?: RunningAttempts.NO_RESOURCES
-            val count = minOf(job.pendingTasks.size, settings.maxTasksPerRequest, allowedTasks(spec, plannedResources))
-            if (count <= 0) continue
-            plannedByTeam[spec.team] = plannedResources - spec.resources * -count
-            plannedRequests += PlannedRequest(job, count)
-        }
+
+        fun planned(team: String) = plannedByTeam[team] ?: RunningAttempts.NO_RESOURCES
+
+        fun taskCount(job: Job) = minOf(job.pendingTasks.size, settings.maxTasksPerRequest, allowedTasks(job.spec, planned(job.spec.team)))
+        val plannedRequests =
+            jobSelector.select(jobs, ::taskCount) {
+                val spec = it.job.spec
+                plannedByTeam[spec.team] = planned(spec.team) - spec.resources * -it.taskCount
+            }
         return groupConsecutive(plannedRequests) { isUrgent(it.job) }.flatMap { createImageRequestsFirst(it, nowUs) }
     }
 
+    /** Learns from the end of a round which kinds of requests get capacity. See [UnplacedKinds.onRoundEnded]. */
+    fun onRoundEnded(
+        requestedJobs: Set<Job>,
+        placedJobs: Set<Job>,
+    ) = unplacedKinds.onRoundEnded(requestedJobs, placedJobs)
+
     /**
      * Creates the requests for consecutive jobs of the same urgency, in two passes. In the first pass, each job requests machines that
      * have its image, or any machine if its fetch is short. In the second pass, with higher request numbers, the jobs of the first kind
--- a/src/main/kotlin/lichenstage/placement/RequestRoundRunner.kt
+++ b/src/main/kotlin/lichenstage/placement/RequestRoundRunner.kt
@@ -71,10 +71,16 @@
     ) {
         val round = currentRound
         if (round != null && (round.hasOfferFromAll(context.reachablePartitions(nowUs)) || nowUs >= round.endsAtUs)) endRound(round, nowUs)
-        val intervalUs = if (hasChangedSinceRound) settings.minRoundIntervalUs else settings.idleRoundIntervalUs
-        if (currentRound == null && nowUs - roundStartedAtUs >= intervalUs) beginRound(waitingJobs, nowUs)
+        if (currentRound == null && nowUs - roundStartedAtUs >= roundIntervalUs()) beginRound(waitingJobs, nowUs)
     }
 
+    private fun roundIntervalUs() =
+        when {
+            hasChangedSinceRound -> settings.minRoundIntervalUs
+            planner.hasLeftOutKinds -> settings.leftOutRoundIntervalUs
+            else -> settings.idleRoundIntervalUs
+        }
+
     /** Broadcasts requests for the first jobs of the queue. */
     private fun beginRound(
         waitingJobs: () -> List<Job>,
@@ -119,6 +125,10 @@
             val seq = outbox.send(id, nowUs, starts = startsOfPartition, releases = allRequestNumbers.filter { it !in startedRequests })
             startedAttempts.forEach { if (it.partition == id) it.startSeq = seq }
         }
+        planner.onRoundEnded(
+            endingRound.requests.map { it.job }.filterTo(HashSet()) { it.phase == JobPhase.OPEN },
+            startedAttempts.mapTo(HashSet()) { it.job },
+        )
         logRound(endingRound, startedAttempts)
         if (startedAttempts.isNotEmpty()) hasChangedSinceRound = true
     }
