Provision machines for jobs that can only use some machines of their type

Cause: needed and present machines were compared by type alone, so that idle machines which a job may not use counted as machines for it.

Change: a CapacityScope is the set of machines that demand is restricted to: a zone, on-demand machines, or on-demand machines of a zone. What is needed in each scope is compared with the machines in it, the narrowest first, then the whole as before. Scale-in does not drain a machine that a scope needs, and a needed on-demand machine is not swapped for a spot one; otherwise the machine that was provisioned for a scope would be drained, or the swap would go on for good.

Why it works: each restricted job is counted in every scope that its machine must be in, and only machines in a scope count for it.

--- a/src/main/kotlin/lichenstage/fleet/CapacityEstimator.kt
+++ b/src/main/kotlin/lichenstage/fleet/CapacityEstimator.kt
@@ -25,6 +25,12 @@
     /** Returns the current demand for a machine type. */
     fun demandFor(typeName: String): List<Demand> = demand.filter { it.typeName == typeName }
 
+    /** Returns the sets of machines that some of the current demand is restricted to, the narrowest first. */
+    fun restrictedScopes(typeName: String): List<CapacityScope> = CapacityScope.restrictedScopes(typeName, demandFor(typeName))
+
+    /** Returns whether any of the demand that is restricted to the scope may use spot machines. */
+    fun allowsSpot(scope: CapacityScope): Boolean = !scope.isOnDemandOnly && demand.any { scope.covers(it) && it.allowsSpot }
+
     /** Returns whether any job in this term has requested the type and may run on spot machines. */
     fun allowsSpot(typeName: String) = typeName in spotTypes
 
@@ -44,20 +50,25 @@
     fun neededMachines(
         typeName: String,
         nowUs: Long,
-    ): Int {
-        val (blocked, ready) = demandFor(typeName).partition { it.readyInUs > 0 }
+    ): Int = roundUp(maxOf(expectedMachines(typeName, nowUs), machinesForDemand(demandFor(typeName), nowUs)))
+
+    /** Returns how many machines in [scope] are needed for the current demand that is restricted to it. */
+    fun neededMachines(
+        scope: CapacityScope,
+        nowUs: Long,
+    ): Int = roundUp(machinesForDemand(demand.filter(scope::covers), nowUs))
+
+    private fun machinesForDemand(
+        demands: List<Demand>,
+        nowUs: Long,
+    ): Double {
+        val (blocked, ready) = demands.partition { it.readyInUs > 0 }
         val maxUsableMachines = ready.sumOf { it.maxMachines }
         val machinesForBacklog =
             ready.sumOf { it.busyMachines } + ready.sumOf { it.waitingWorkUs } / policy.targetUtilization / policy.backlogUs
         val machinesForObjectives = machinesForObjectives(ready.filter { it.dueAtUs != null }, nowUs)
         val machinesForBlockedJobs = blocked.sumOf { it.workUs / it.readyInUs } / policy.targetUtilization
-        return roundUp(
-            maxOf(
-                expectedMachines(typeName, nowUs),
-                machinesForBlockedJobs,
-                minOf(maxUsableMachines, maxOf(machinesForBacklog, machinesForObjectives)),
-            ),
-        )
+        return maxOf(machinesForBlockedJobs, minOf(maxUsableMachines, maxOf(machinesForBacklog, machinesForObjectives)))
     }
 
     /**
--- a/src/main/kotlin/lichenstage/fleet/ScaleIn.kt
+++ b/src/main/kotlin/lichenstage/fleet/ScaleIn.kt
@@ -24,7 +24,7 @@
                 surplusSinceUsByType.remove(typeName)
                 group.forEach { it.isDraining = false }
             } else if (nowUs - surplusSinceUsByType.getOrPut(typeName) { nowUs } >= delayUs(typeName, nowUs)) {
-                drain(group, surplus, nowUs)
+                drain(group, surplus, RestrictedNeed(capacityEstimator, typeName, group, nowUs), nowUs)
             }
         }
     }
@@ -34,16 +34,24 @@
         nowUs: Long,
     ) = if (forecast.hasCeased(typeName, nowUs)) policy.scaleInDelayUs / CEASED_DELAY_DIVISOR else policy.scaleInDelayUs
 
+    /** Drains up to [surplus] machines, but none that the jobs behind [restrictedNeed] need, and terminates the empty ones. */
     private fun drain(
         group: List<FleetMachine>,
         surplus: Int,
+        restrictedNeed: RestrictedNeed,
         nowUs: Long,
     ) {
         val candidates =
             group
                 .filter { it.hasBeenUp && nowUs - it.provisionedAtUs > MIN_LIFETIME_US - DRAIN_LEAD_US }
                 .sortedWith(compareBy<FleetMachine> { it.isSpot }.thenBy { !it.isDraining }.thenBy { it.taskCount })
-        candidates.forEachIndexed { i, machine -> machine.isDraining = i < surplus }
+        var remaining = surplus
+        for (machine in candidates) {
+            machine.isDraining = remaining > 0 && restrictedNeed.canSpare(machine)
+            if (!machine.isDraining) continue
+            restrictedNeed.remove(machine)
+            remaining--
+        }
         candidates
             .filter { it.isDraining && it.taskCount == 0 && nowUs - it.provisionedAtUs > MIN_LIFETIME_US }
             .forEach { it.isTerminating = true }
--- a/src/main/kotlin/lichenstage/fleet/ScaleOut.kt
+++ b/src/main/kotlin/lichenstage/fleet/ScaleOut.kt
@@ -45,7 +45,31 @@
         machineTypes.firstNotNullOfOrNull { machineType ->
             val machines = servingMachines(machineType.name)
             val shortage = capacityEstimator.neededMachines(machineType.name, nowUs) - machines.size
-            if (shortage > 0) requestMachines(machineType, machines, shortage, nowUs) else requestSpotSwap(machineType, machines, nowUs)
+            requestRestrictedMachines(machineType, machines, nowUs)
+                ?: if (shortage >
+                    0
+                ) {
+                    requestMachines(machineType, machines, shortage, nowUs)
+                } else {
+                    requestSpotSwap(machineType, machines, nowUs)
+                }
+        }
+
+    /** Creates a request for machines that are missing for jobs which can only use some of the machines of their type. */
+    private fun requestRestrictedMachines(
+        machineType: MachineType,
+        machines: List<FleetMachine>,
+        nowUs: Long,
+    ): ProvisionRequest? =
+        capacityEstimator.restrictedScopes(machineType.name).firstNotNullOfOrNull { scope ->
+            val machinesInScope = machines.filter { it in scope }
+            val shortage = capacityEstimator.neededMachines(scope, nowUs) - machinesInScope.size
+            val spotChoices = if (capacityEstimator.allowsSpot(scope)) listOf(true, false) else listOf(false)
+            if (shortage <= 0) {
+                null
+            } else {
+                spotChoices.firstNotNullOfOrNull { requestInEmptiestZone(machineType, scope.zone, machinesInScope, it, shortage, nowUs) }
+            }
         }
 
     /**
@@ -63,27 +87,30 @@
         val spotChoices = if (isOnDemandFirst) listOf(false, true) else listOf(true, false)
         return spotChoices
             .filter { isSpot -> !isSpot || allowsSpot }
-            .firstNotNullOfOrNull { isSpot -> requestInEmptiestZone(machineType, machines, isSpot, shortage, nowUs) }
+            .firstNotNullOfOrNull { isSpot -> requestInEmptiestZone(machineType, null, machines, isSpot, shortage, nowUs) }
     }
 
+    /** Creates a request in the zone with the fewest of [machines], or in [onlyZone] if that is not null. */
     private fun requestInEmptiestZone(
         machineType: MachineType,
+        onlyZone: String?,
         machines: List<FleetMachine>,
         isSpot: Boolean,
         shortage: Int,
         nowUs: Long,
     ): ProvisionRequest? {
+        val zones = if (onlyZone == null) machineType.zones else listOf(onlyZone)
         val zone =
-            machineType.zones
+            zones
                 .filter { backoff.allows(CapacityPool(machineType.name, it, isSpot), nowUs) }
                 .minByOrNull { zone -> machines.count { it.zone == zone } } ?: return null
-        val count = ceil(shortage.toDouble() / machineType.zones.size).toInt().coerceIn(1, MAX_MACHINES_PER_REQUEST)
+        val count = ceil(shortage.toDouble() / zones.size).toInt().coerceIn(1, MAX_MACHINES_PER_REQUEST)
         return createRequest(CapacityPool(machineType.name, zone, isSpot), count)
     }
 
     /**
      * Creates a request for a spot machine in place of an on-demand one. The spot machine creates a surplus, and scale-in then drains the
-     * on-demand machine.
+     * on-demand machine, unless jobs need it that cannot use the spot machine.
      */
     private fun requestSpotSwap(
         machineType: MachineType,
@@ -91,7 +118,12 @@
         nowUs: Long,
     ): ProvisionRequest? {
         if (machineType.spotPrice >= machineType.onDemandPrice || nowUs - lastSpotSwapAtUs < SPOT_SWAP_INTERVAL_US) return null
-        if (machines.none { !it.isSpot && !it.isDraining } || !capacityEstimator.allowsSpot(machineType.name)) return null
+        val restrictedNeed = RestrictedNeed(capacityEstimator, machineType.name, machines, nowUs)
+        if (machines.none { !it.isSpot && !it.isDraining && restrictedNeed.canSpare(it) } ||
+            !capacityEstimator.allowsSpot(machineType.name)
+        ) {
+            return null
+        }
         val zone = machineType.zones.firstOrNull { backoff.allows(CapacityPool(machineType.name, it, true), nowUs) } ?: return null
         lastSpotSwapAtUs = nowUs
         return createRequest(CapacityPool(machineType.name, zone, true), 1)
