Send the commands first that were sent the longest ago

What callers would see: with more than 8,000 stops or clears for machines that do not execute them, further ones for the partition are never sent.

Cause: a frame takes the first 400 due commands in the order of their machines, ten times a second; a stop is due again after 2 s, so that the first 8,000 are due again before the next had a turn.

Change: where more are due than a frame holds, those that were sent the longest ago go first, never-sent ones before all.

--- a/src/main/kotlin/lichenstage/placement/PendingCommands.kt
+++ b/src/main/kotlin/lichenstage/placement/PendingCommands.kt
@@ -73,13 +73,21 @@
                 .orEmpty()
                 .asSequence()
                 .flatten()
-        for (command in pendingCommands.filter { isDue(it, nowUs) }.take(MAX_COMMANDS_PER_FRAME)) {
+        for (command in selectForFrame(pendingCommands.filter { isDue(it, nowUs) }.toList())) {
             command.sentAtUs = nowUs
             (if (command.isStop) stops else clears) += command.attemptCommand
         }
         return DueCommands(stops, clears)
     }
 
+    /** Returns as many of the due commands as a frame may have, those that were sent the longest ago or never before all others. */
+    private fun selectForFrame(dueCommands: List<PendingCommand>): List<PendingCommand> =
+        if (dueCommands.size <= MAX_COMMANDS_PER_FRAME) {
+            dueCommands
+        } else {
+            dueCommands.sortedBy { it.sentAtUs }.take(MAX_COMMANDS_PER_FRAME)
+        }
+
     private fun isDue(
         command: PendingCommand,
         nowUs: Long,
--- a/src/test/kotlin/lichenstage/placement/PendingCommandsTest.kt
+++ b/src/test/kotlin/lichenstage/placement/PendingCommandsTest.kt
@@ -40,4 +40,14 @@
         commands.removePartition("y/0")
         assertTrue((commands.takeDue("z/0", SECOND).stops + commands.takeDue("y/0", SECOND).stops).isEmpty()) { "a command is sent" }
     }
+
+    /** Guards against commands that are never sent, because those for machines that do not execute them are due again before. */
+    @Example
+    fun `each of more commands than can be repeated in time is sent, although no machine executes any`() {
+        val machines = List(20_000) { "m$it" }
+        for (machine in machines) commands.replace("z/0", machine, listOf(AttemptCommand(machine, "j-1/0", 1)), emptyList())
+        val sentTo = HashSet<String>()
+        for (tick in 0L..100L) sentTo += commands.takeDue("z/0", SECOND + tick * SECOND / 10).stops.map { it.machine }
+        assertEquals(machines.size, sentTo.size)
+    }
 }
