Leave a team's limit to its other jobs while some wait for machines that may not come

What callers would see: jobs of a team that wait for a zone without capacity in the cloud keep all other jobs of the team from getting machines.

Cause: DemandEstimator gave out the team's limit in the order of the jobs, to those that wait for machines that cannot be had as to all others.

Change: waiting tasks of jobs that are restricted to a zone or to on-demand machines take up the limit only for jobs with the same restriction (TeamShares); running tasks count for all jobs of the team, as before.

Before and after: DemandEstimatorTest: two jobs without restriction behind two bound ones have no demand on the code before, and their full share now.

--- a/src/main/kotlin/lichenstage/placement/DemandEstimator.kt
+++ b/src/main/kotlin/lichenstage/placement/DemandEstimator.kt
@@ -33,14 +33,14 @@
         machineTypes: Map<String, MachineType>,
         inputs: Inputs,
     ): List<Demand> {
-        val plannedCoresByTeam = HashMap<String, Double>()
+        val teamShares = TeamShares(inputs::coreLimit)
         return jobs.filter { it.remainingTasks > 0 && it.phase == JobPhase.OPEN }.mapNotNull { job ->
             val spec = job.spec
             val machineType = MachineFit.cheapestType(spec, machineTypes)
             val leadUs = if (job.isReady || machineType == null) 0 else (machineType.bootUs * BOOT_TIME_MARGIN).toLong()
-            val tasks = concurrentTasks(job, inputs.coreLimit(spec.team) - (plannedCoresByTeam[spec.team] ?: 0.0))
+            val tasks = concurrentTasks(job, teamShares.availableCores(spec))
             if (machineType == null || tasks <= 0.0 || (!job.isReady && inputs.readyInUs(job) > leadUs)) return@mapNotNull null
-            plannedCoresByTeam.merge(spec.team, tasks * spec.resources.cores, Double::plus)
+            teamShares.add(job, tasks)
             remainingDemand(job, machineType, tasks, inputs.runUs(spec)).copy(dueAtUs = inputs.dueAtUs(job), readyInUs = leadUs)
         }
     }
--- a/src/test/kotlin/lichenstage/placement/DemandEstimatorTest.kt
+++ b/src/test/kotlin/lichenstage/placement/DemandEstimatorTest.kt
@@ -75,4 +75,13 @@
         assertTrue(arrival.isUrgent)
         assertNull(DemandEstimator.estimateArrival(job(1), emptyMap(), 50 * SECOND) { false })
     }
+
+    /** Guards against jobs without machines because others of their team wait for a zone in which none can be provisioned. */
+    @Example
+    fun `waiting jobs that are bound to a zone leave the limit of their team to its other jobs`() {
+        fun zoneBoundJob(number: Int) = Job(oneCoreSpec(number, "c", Priority.LOW, 16).copy(zone = "z"), 1, 0).apply { enqueueTasks() }
+        val jobs = listOf(zoneBoundJob(1), zoneBoundJob(2), job(3, tasks = 16), job(4, tasks = 16))
+        val demand = DemandEstimator.estimateDemand(jobs, machineTypes, inputs(coreLimit = 24.0))
+        assertEquals(listOf("z" to 1.0, "z" to 0.5, null to 1.0, null to 0.5), demand.map { it.zone to it.maxMachines })
+    }
 }
