Do not count requests that got nothing against the limit of their team

What callers would see: a job of a team below its limit waits beside empty machines, since other jobs of the team, which cannot be placed, ask for the whole limit in each round.

Cause: within a round all requests so far counted against the team's limit, also those that get nothing in every round.

Change: a request of a kind that got nothing in its last round does not count. The limit is kept as before where tasks are started, against what may be running.

Before and after: RoundFairnessTest, 30 bound jobs and one that fits in a team with 8 cores: it fails on the code before and passes now.

--- a/src/main/kotlin/lichenstage/placement/RequestPlanner.kt
+++ b/src/main/kotlin/lichenstage/placement/RequestPlanner.kt
@@ -29,6 +29,9 @@
     /**
      * Returns the placement requests for some of [jobs], which [RoundJobSelector] selects, within the limits of their teams.
      *
+     * Requests that will probably get nothing do not count against the limit of their team, because otherwise they would keep other jobs of
+     * the team from requesting. A team still can't exceed its limit, which is checked again for each start.
+     *
      * @param allowedTasks returns how many tasks of a job its team may start in addition to the resources already planned for the team in
      *   this round
      */
@@ -45,7 +48,7 @@
         val plannedRequests =
             jobSelector.select(jobs, ::taskCount) {
                 val spec = it.job.spec
-                plannedByTeam[spec.team] = planned(spec.team) - spec.resources * -it.taskCount
+                if (it.job.requestKind !in unplacedKinds) plannedByTeam[spec.team] = planned(spec.team) - spec.resources * -it.taskCount
             }
         return groupConsecutive(plannedRequests) { isUrgent(it.job) }.flatMap { createImageRequestsFirst(it, nowUs) }
     }
--- a/src/test/kotlin/lichenstage/placement/RoundFairnessTest.kt
+++ b/src/test/kotlin/lichenstage/placement/RoundFairnessTest.kt
@@ -104,6 +104,16 @@
         assertEquals(1, placeableJob.liveAttempts.size) { "not requested in $rounds rounds" }
     }
 
+    @Example
+    fun `jobs that cannot be placed do not use up the limit of their team`() {
+        val leader = startedLeader(teams)
+        repeat(30) { leader.add(it, tasks = 8) { spec -> spec.copy(zone = "y") } }
+        val placeableJob = leader.add(100)
+        freeSlots = 1
+        leader.run(5 * SECOND)
+        assertEquals(1, placeableJob.liveAttempts.size) { "the team is under its limit, and its job is not requested" }
+    }
+
     @Example
     fun `while no capacity is free, every round requests for the first jobs of the queue, in queue order`() {
         val leader = startedLeader()
