Let a job that cannot use the capacity held for it come last in its next round

What callers would see: jobs behind a spread job that has half of its tasks in the only zone with room do not start beside free machines, as long as these tasks run.

Cause: partitions hold capacity in the order of the requests and know nothing of the job's other tasks; the first job was held all free slots in each round and used none.

Change: a job that was offered capacity and used none of it comes last in its next round; if it gets no offer then, it is back in its place after that.

Before and after: RoundFairnessTest: a job of two tasks behind a spread job, two slots free: it does not start on the code before, and starts now.

--- a/src/main/kotlin/lichenstage/placement/RequestPlanner.kt
+++ b/src/main/kotlin/lichenstage/placement/RequestPlanner.kt
@@ -57,7 +57,8 @@
     fun onRoundEnded(
         requestedJobs: Set<Job>,
         placedJobs: Set<Job>,
-    ) = unplacedKinds.onRoundEnded(requestedJobs, placedJobs)
+        hadOffers: (Job) -> Boolean,
+    ) = unplacedKinds.onRoundEnded(requestedJobs, placedJobs, hadOffers)
 
     /**
      * Creates the requests for consecutive jobs of the same urgency, in two passes. In the first pass, each job requests machines that
--- a/src/main/kotlin/lichenstage/placement/RequestRound.kt
+++ b/src/main/kotlin/lichenstage/placement/RequestRound.kt
@@ -38,6 +38,10 @@
     /** Returns whether all of [partitions] have made an offer. An empty offer counts. */
     fun hasOfferFromAll(partitions: Set<String>) = partitionsWithOffer.containsAll(partitions)
 
+    /** Returns whether any partition has offered capacity for a request of the job. */
+    fun hasOfferFor(job: Job): Boolean =
+        requests.any { request -> request.job === job && offersFor(request.request.requestNumber).values.any { it.isNotEmpty() } }
+
     /** Returns the offers for the request with this number, by partition. */
     fun offersFor(requestNumber: Long): Map<String, List<HeldSlots>> = offers[requestNumber] ?: emptyMap()
 }
--- a/src/main/kotlin/lichenstage/placement/RequestRoundRunner.kt
+++ b/src/main/kotlin/lichenstage/placement/RequestRoundRunner.kt
@@ -128,6 +128,7 @@
         planner.onRoundEnded(
             endingRound.requests.map { it.job }.filterTo(HashSet()) { it.phase == JobPhase.OPEN },
             startedAttempts.mapTo(HashSet()) { it.job },
+            endingRound::hasOfferFor,
         )
         logRound(endingRound, startedAttempts)
         if (startedAttempts.isNotEmpty()) hasChangedSinceRound = true
--- a/src/main/kotlin/lichenstage/placement/RoundJobSelector.kt
+++ b/src/main/kotlin/lichenstage/placement/RoundJobSelector.kt
@@ -30,7 +30,7 @@
         private set
 
     /**
-     * Returns the requests for the selected jobs in queue order.
+     * Returns the requests for the selected jobs in queue order. Jobs that left the capacity held for them unused come last.
      *
      * @param taskCount returns for how many tasks a job may request capacity; jobs that may not request any take no place
      * @param onPlanned called for each selected job with its number of tasks, in the order of selection
@@ -43,7 +43,8 @@
         val selection = Selection(jobs, taskCount, onPlanned)
         selection.take(headPlaces, jobs.indices.asSequence())
         if (selection.isComplete) hasLeftOutKinds = false else selectOthers(jobs, selection)
-        return selection.inQueueOrder()
+        val (withUnusedOffers, others) = selection.inQueueOrder().partition { unplacedKinds.leftOffersUnused(it.job.requestKind) }
+        return others + withUnusedOffers
     }
 
     private fun selectOthers(
--- a/src/test/kotlin/lichenstage/placement/RoundFairnessTest.kt
+++ b/src/test/kotlin/lichenstage/placement/RoundFairnessTest.kt
@@ -114,6 +114,19 @@
         assertEquals(1, placeableJob.liveAttempts.size) { "the team is under its limit, and its job is not requested" }
     }
 
+    /** A spread job that has half of its tasks in the only zone with free machines is offered slots there that it cannot use. */
+    @Example
+    fun `a job that cannot use the slots offered to it leaves them to the jobs behind it`() {
+        val leader = startedLeader()
+        val spreadJob = leader.add(1, tasks = 4) { it.copy(requiresSpread = true) }
+        freeSlots = 4
+        leader.run(2 * SECOND)
+        assertEquals(2, spreadJob.liveAttempts.size) { "more than half of the tasks are in one zone" }
+        val otherJob = leader.add(2, tasks = 2)
+        leader.run(2 * SECOND)
+        assertEquals(2, otherJob.liveAttempts.size) { "the slots are held for a job that cannot use them" }
+    }
+
     @Example
     fun `while no capacity is free, every round requests for the first jobs of the queue, in queue order`() {
         val leader = startedLeader()
