--- a/src/main/kotlin/lichenstage/placement/LeaderCore.kt
+++ b/src/main/kotlin/lichenstage/placement/LeaderCore.kt
@@ -4,7 +4,6 @@
 import lichenstage.cluster.PartitionFrame
 import lichenstage.common.MILLI
 import lichenstage.common.SECOND
-import lichenstage.model.JobRequirements
 import lichenstage.state.WriteOutcome
 import org.slf4j.LoggerFactory
 
@@ -49,7 +48,7 @@
     private val checkpointPreemption = CheckpointPreemption(runTimes)
     private val completionRecorder =
         CompletionRecorder(settings.maxChangesPerTransaction, settings.placementSettings.recordDelayUs, settings.maxValueBytes, emit)
-    private val outbox = PartitionOutbox(term, OutboxView(), emit)
+    private val outbox: PartitionOutbox = PartitionOutbox(term, LeaderOutboxSource(partitionTable, jobTable, directory), emit)
     private val reconciler = MachineReconciler(partitionTable, jobTable, unaccountedUse, directory::isRegistered, outbox)
     private val attemptTracker =
         AttemptTracker(settings.workerLeaseUs, runningAttempts, runTimes, checkpointPreemption, directory::isRegistered, AttemptEvents())
@@ -73,33 +72,10 @@
             zones,
             runningAttempts,
             outbox,
-            RoundView(),
+            LeaderRoundContext(partitionTable, directory, runningAttempts, unaccountedUse),
         )
     }
 
-    private inner class OutboxView : OutboxSource {
-        override fun partition(id: String) = partitionTable[id]
-
-        override fun requirementsOfJobs(): Map<String, JobRequirements> = jobs.values.associate { it.spec.id to it.spec.requirements }
-
-        override fun addresses(partition: String) = directory.addressesIn(partition)
-
-        override fun isExcludedFromPlacement(machine: String) = !directory.canReceiveTasks(machine)
-    }
-
-    private inner class RoundView : RoundContext {
-        override fun partition(id: String) = partitionTable[id]
-
-        override fun usableSlots(
-            machine: String,
-            held: Int,
-        ) = directory.usableSlots(machine, held) { runningAttempts.onMachine(machine).size }
-
-        override fun unaccountedUse() = unaccountedUse.total()
-
-        override fun reachablePartitions(nowUs: Long) = partitionTable.reachablePartitions(nowUs)
-    }
-
     private inner class AttemptEvents : AttemptListener {
         override fun onTaskDone(
             job: Job,
