--- a/src/test/kotlin/lichenstage/ci/KnownRedTest.kt
+++ b/src/test/kotlin/lichenstage/ci/KnownRedTest.kt
@@ -17,7 +17,9 @@
         text: String,
         failed: Set<TestId> = setOf(red),
         classesWithoutReport: List<String> = emptyList(),
-    ) = KnownRed.parse(text).findProblems(TestResults(setOf(red, green) - failed, failed), classesWithoutReport)
+    ) = KnownRed.parse(text).findProblems(TestResults(setOf(red, green) - failed, failed), classesWithoutReport) {
+        it.toString() in setOf("review/3/run.sh", "a.SweepKt")
+    }
 
     @Example
     fun `a test run in which exactly the listed test fails has no problems`() =
@@ -25,6 +27,14 @@
             "${findProblems(list)}"
         }
 
+    @Example
+    fun `a script and a program outside of the default run are listed without a problem beside tests of the run`() {
+        val notRun = "review/3/run.sh | TROUBLE=1 | waits | 48\na.SweepKt | late-orders 910898 1 | waits | 37"
+        assertTrue(findProblems(list + notRun).isEmpty()) { "${findProblems(list + notRun)}" }
+        assertEquals(listOf("review/3/run.sh", "a.SweepKt"), KnownRed.parse(list + notRun).entriesNotRun.map { it.subject.toString() })
+        assertEquals(listOf("KNOWN-RED.txt: listed test passed: $red"), findProblems(list + notRun, failed = emptySet()))
+    }
+
     @Example
     fun `a test run without failures has no problems if the list is empty`() =
         assertTrue(findProblems("\n", failed = emptySet()).isEmpty()) {
@@ -39,6 +49,10 @@
                 findProblems(list, failed = setOf(red, green)) to "failed: $green",
                 findProblems(list, failed = emptySet()) to "KNOWN-RED.txt: listed test passed: $red",
                 findProblems(list + "a.NoTest#x | c | s | 1") to "KNOWN-RED.txt: listed test not run: a.NoTest#x",
+                findProblems(list + "review/9/run.sh | c | s | 1") to "KNOWN-RED.txt: does not exist: review/9/run.sh",
+                findProblems(list + "a.NoSweepKt | c | s | 1") to "KNOWN-RED.txt: does not exist: a.NoSweepKt",
+                findProblems(list + "a.GreenTest | c | s | 1") to
+                    "KNOWN-RED.txt: line must be of the form ${KnownRed.ENTRY_FORMAT}, was: a.GreenTest | c | s | 1",
                 findProblems(list.repeat(4)) to "KNOWN-RED.txt: must have at most 3 lines",
                 findProblems(list + "a.GreenTest passes") to
                     "KNOWN-RED.txt: line must be of the form ${KnownRed.ENTRY_FORMAT}, was: a.GreenTest passes",
--- a/src/test/kotlin/lichenstage/ci/TestVerdict.kt
+++ b/src/test/kotlin/lichenstage/ci/TestVerdict.kt
@@ -11,14 +11,17 @@
 
 /**
  * Checks the surefire reports of the latest test run against KNOWN-RED.txt: exactly the listed tests must have failed. Prints the listed
- * tests and all problems, and exits with status 1 if there are any problems.
+ * tests, what is listed but not part of the run, and all problems, and exits with status 1 if there are any problems.
  */
 fun main() {
     val file = File(KNOWN_RED_FILE)
     val knownRed = KnownRed.parse(if (file.exists()) file.readText() else "")
-    knownRed.entries.forEach { println("known red: ${it.test}: ${it.observed} (${it.command}; issue ${it.issue})") }
+    for (entry in knownRed.entries) {
+        val label = if (entry in knownRed.entriesNotRun) "known red, not run here" else "known red"
+        println("$label: ${entry.subject}: ${entry.observed} (${entry.command}; issue ${entry.issue})")
+    }
     val results = readResults()
-    val problems = knownRed.findProblems(results, classesWithoutReport())
+    val problems = knownRed.findProblems(results, classesWithoutReport(), ::exists)
     problems.forEach(::println)
     println(
         "${results.passed.size} tests passed, ${results.failed.size} failed, ${knownRed.entries.size} known red, ${problems.size} problems",
@@ -26,6 +29,17 @@
     exitProcess(if (problems.isEmpty()) 0 else 1)
 }
 
+/** Returns whether the script, or the source file of the program, exists and is not part of the default run. */
+private fun exists(subject: KnownRedSubject): Boolean =
+    when (subject) {
+        is KnownRedSubject.DefaultTest -> true
+        is KnownRedSubject.Script -> File(subject.path).isFile
+        is KnownRedSubject.Program -> sourceOf(subject).let { it.isFile && it.readText().contains("fun main(") }
+    }
+
+private fun sourceOf(program: KnownRedSubject.Program) =
+    File(SOURCES_FOLDER, program.mainClass.removeSuffix("Kt").replace('.', '/') + ".kt")
+
 /** Returns the test classes, found by source files named `*Test.kt`, for which surefire wrote no report. */
 private fun classesWithoutReport(): List<String> =
     SOURCES_FOLDER
