--- a/review/kit-2/review2/Http.java
+++ b/review/kit-2/review2/Http.java
@@ -4,6 +4,7 @@
 import com.sun.net.httpserver.HttpServer;
 import io.vertx.core.json.JsonObject;
 import java.io.IOException;
+import java.net.BindException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
@@ -17,10 +18,13 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
+import java.util.concurrent.ThreadLocalRandom;
 
 /** Small helpers for HTTP and JSON on loopback. */
 final class Http {
     static final String HOST = "127.0.0.1";
+    private static final int FIRST_PORT = 12_000;
+    private static final int LAST_PORT = 31_000;
     private static final Set<Integer> PORTS = ConcurrentHashMap.newKeySet();
     private static final ExecutorService POOL =
             Executors.newCachedThreadPool(
@@ -39,10 +43,14 @@
         Answer handle(String method, URI uri, JsonObject body) throws Exception;
     }
 
+    /** Returns a free port below those that systems give to outgoing connections, so that none of these takes it before it is used. */
     static int freePort() throws IOException {
         while (true) {
-            try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName(HOST))) {
+            int port = ThreadLocalRandom.current().nextInt(FIRST_PORT, LAST_PORT);
+            try (ServerSocket socket = new ServerSocket(port, 1, InetAddress.getByName(HOST))) {
                 if (PORTS.add(socket.getLocalPort())) return socket.getLocalPort();
+            } catch (BindException e) {
+                // Another program has it.
             }
         }
     }
--- a/review/kit-2/review2/World.java
+++ b/review/kit-2/review2/World.java
@@ -324,6 +324,8 @@
             }
             sleep(0.2);
         }
+        record.line("not all controllers are healthy");
+        recordLogs(20);
         return false;
     }
 
