--- a/review/kit-2/review2/Chaos.java
+++ b/review/kit-2/review2/Chaos.java
@@ -37,8 +37,14 @@
             w.startCloud(2);
             w.cloud.capacity = 2;
             for (int i = 0; i < 5; i++) w.cloud.create(w.zones.get(i % 3), i % 2 == 0, 0);
+            String other = System.getenv("OTHER_VERSION");
+            if (other != null) {
+                w.otherVersion = Path.of(other);
+                w.runOther.addAll(List.of(0, 1, 2));
+            }
             w.launchAll();
             if (!w.awaitHealthy(25)) return 2;
+            if (other != null) async(this::upgrade);
             Thread users = new Thread(this::users);
             users.setDaemon(true);
             users.start();
@@ -108,12 +114,12 @@
                         if (!up.isEmpty()) up.get(random.nextInt(up.size())).cut(15 + random.nextInt(6));
                     }
                     case "partition" -> async(() -> {
-                        int other = (subject + 1) % 3;
-                        byPair[subject][other].set(Link.Mode.HOLD);
-                        byPair[other][subject].set(Link.Mode.HOLD);
+                        int peer = (subject + 1) % 3;
+                        byPair[subject][peer].set(Link.Mode.HOLD);
+                        byPair[peer][subject].set(Link.Mode.HOLD);
                         w.sleep(15 + random.nextInt(6));
-                        byPair[subject][other].set(Link.Mode.PASS);
-                        byPair[other][subject].set(Link.Mode.PASS);
+                        byPair[subject][peer].set(Link.Mode.PASS);
+                        byPair[peer][subject].set(Link.Mode.PASS);
                     });
                     case "peers" -> async(() -> {
                         for (Link link : links) link.set(Link.Mode.REFUSE);
@@ -171,6 +177,16 @@
         thread.start();
     }
 
+    /** Brings one controller after the other to this version. */
+    private void upgrade() throws Exception {
+        for (int node = 0; node < 3; node++) {
+            world.sleep(25);
+            world.runOther.remove(node);
+            world.record.line("UPGRADE %d", node);
+            restart(node, 3);
+        }
+    }
+
     private final boolean[] isRestarting = new boolean[3];
 
     private void restart(int node, double afterS) throws Exception {
@@ -199,7 +215,7 @@
                 job.samePlace = own.nextInt(4) == 0;
                 job.spread = !job.samePlace && own.nextInt(4) == 0;
                 if (own.nextInt(6) == 0) job.yard = world.zones.get(own.nextInt(3));
-                if (own.nextInt(3) == 0 && !jobs.isEmpty()) {
+                if (own.nextInt(3) == 0 && !jobs.isEmpty() && world.runOther.isEmpty()) {
                     World.Job before = jobs.get(own.nextInt(jobs.size()));
                     if (before.acceptedAt >= 0) job.waitsOn = List.of(before.uid);
                 }
--- a/review/kit-2/review2/World.java
+++ b/review/kit-2/review2/World.java
@@ -261,14 +261,20 @@
         return clusterPorts.get(node);
     }
 
+    /** The folder of another version of the program, and the controllers that run it; only trials use it. */
+    Path otherVersion = null;
+    final Set<Integer> runOther = ConcurrentHashMap.newKeySet();
+
     void launch(int node) throws Exception {
+        Path program = runOther.contains(node) ? otherVersion : Path.of("");
         Path file = folder.resolve(labels.get(node) + ".json");
         Files.writeString(file, settings(node).encodePrettily());
         String line =
-                Files.readAllLines(Path.of("deploy/service.toml")).stream().filter(it -> it.startsWith("run = ")).findFirst().get();
+                Files.readAllLines(program.resolve("deploy/service.toml")).stream().filter(it -> it.startsWith("run = ")).findFirst().get();
         List<String> command = new ArrayList<>(Arrays.asList(line.substring(line.indexOf('"') + 1, line.lastIndexOf('"')).split(" ")));
         command.add(file.toString());
         ProcessBuilder builder = new ProcessBuilder(command);
+        if (runOther.contains(node)) builder.directory(otherVersion.toFile());
         builder.environment().put("LOG_LEVEL", System.getenv().getOrDefault("LOG_LEVEL", "info"));
         builder.redirectErrorStream(true);
         builder.redirectOutput(ProcessBuilder.Redirect.appendTo(logFile(node)));
