Log machines that no owner reports or that the cloud no longer lists

Four causes were possible: the machine that is gone still counts, the pool is in backoff, the demand is not seen, or a request without an answer blocks the others. The debug line of the fleet showed none of them apart: a machine that its former owner had seen counted under up= for good, whatever its present owner knows. The line now has unreported= (machines that their present owner does not know) and unlisted= (machines that are missing from a list which must contain them: it was requested more than twice the list's lag, and 2 s, after the machine was known).

--- a/src/main/kotlin/lichenstage/fleet/FleetCore.kt
+++ b/src/main/kotlin/lichenstage/fleet/FleetCore.kt
@@ -17,8 +17,9 @@
     term: Long,
     policy: FleetPolicy,
     forecast: DemandForecast,
+    machineListLagUs: Long,
 ) {
-    private val inventory = FleetInventory()
+    private val inventory = FleetInventory(machineListLagUs)
     private val capacityEstimator = CapacityEstimator(policy, forecast)
     private val replacementRequests = ReplacementRequests()
     private val scaleIn = ScaleIn(policy, forecast, capacityEstimator)
@@ -49,7 +50,7 @@
         nowUs: Long,
     ) {
         hasReceivedList = true
-        inventory.applyListing(machines, nowUs)
+        inventory.applyListing(machines, lastListRequestAtUs, nowUs)
     }
 
     /** Applies an observation, and decides which machines to drain and to terminate. */
@@ -122,6 +123,7 @@
         val waitingS = demand.sumOf { it.waitingWorkUs } / SECOND / maxOf(machines.size, 1)
         return "type=$typeName machines=${machines.size} spot=${machines.count { it.isSpot }} up=${machines.count { it.hasBeenUp }} " +
             "idle=${machines.count { it.hasBeenUp && it.taskCount == 0 }} draining=${machines.count { it.isDraining }} " +
+            "unreported=${machines.count { !it.isReported }} unlisted=${machines.count { it.isMissingFromList }} " +
             "needed=${capacityEstimator.neededMachines(typeName, nowUs)} " +
             "expected=%.0f busy=%.0f waitingS=%.0f ".format(
                 capacityEstimator.expectedMachines(typeName, nowUs),
--- a/src/main/kotlin/lichenstage/fleet/FleetInventory.kt
+++ b/src/main/kotlin/lichenstage/fleet/FleetInventory.kt
@@ -19,6 +19,12 @@
     /** Whether the worker of the machine has been seen up at least once in this term. */
     var hasBeenUp = false
 
+    /** Whether the present owner of the machine's partition knows the machine. */
+    var isReported = false
+
+    /** Whether the machine is missing from a list of the cloud that must contain it unless it is gone. */
+    var isMissingFromList = false
+
     /** The number of tasks that may be running on the machine. */
     var taskCount = 0
 
@@ -29,8 +35,17 @@
     var isTerminating = false
 }
 
-/** The machines of the fleet, as the cloud and the partitions report them. */
-internal class FleetInventory {
+/**
+ * The machines of the fleet, as the cloud and the partitions report them.
+ *
+ * @param machineListLagUs the time by which the cloud's list lags behind the actual state; at times it is twice as much
+ */
+internal class FleetInventory(
+    machineListLagUs: Long,
+) {
+    /** The time after which a machine is in every list that is requested, unless it is gone. */
+    private val listingDelayUs = MAX_LIST_LAG_FACTOR * machineListLagUs + LISTING_MARGIN_US
+
     private val machines = LinkedHashMap<String, FleetMachine>()
 
     /** The names of machines that are gone. They must not be added again, although the cloud's list lags and may still contain them. */
@@ -64,15 +79,20 @@
         if (name !in terminatedNames) machines.getOrPut(name) { FleetMachine(typeName, zone, isSpot, provisionedAtUs) }
     }
 
-    /** Applies the cloud's list. A machine that is missing from the list is kept, because the list lags. */
+    /** Applies the cloud's list, which was requested at [requestedAtUs]. A machine that is missing from the list is kept. */
     fun applyListing(
         listed: List<ListedMachine>,
+        requestedAtUs: Long,
         nowUs: Long,
     ) {
         for (row in listed) {
             add(row.name, row.typeName, row.zone, row.isSpot, nowUs - row.ageUs)
             machines[row.name]?.hasFailed = row.status == ListedStatus.FAILED
         }
+        val listedNames = listed.mapTo(HashSet()) { it.name }
+        for ((name, machine) in machines) {
+            machine.isMissingFromList = name !in listedNames && requestedAtUs - machine.provisionedAtUs > listingDelayUs
+        }
     }
 
     /** Applies the status that the partitions report, and marks lost, faulty, failed and silent machines for termination. */
@@ -94,6 +114,7 @@
         bootUs: Long,
         nowUs: Long,
     ) {
+        machine.isReported = status != null
         if (status != null && status.isUp) machine.hasBeenUp = true
         machine.taskCount = status?.taskCount ?: 0
         val hasBootFailed = !machine.hasBeenUp && nowUs - machine.provisionedAtUs > BOOT_TIMEOUT_FACTOR * bootUs + BOOT_TIMEOUT_MARGIN_US
@@ -123,5 +144,9 @@
 
         /** The boot time that is assumed while the machine types are not known. */
         const val DEFAULT_BOOT_US = 60 * SECOND
+
+        /** The cloud's list lags by up to this many times its usual lag. */
+        const val MAX_LIST_LAG_FACTOR = 2
+        const val LISTING_MARGIN_US = 2 * SECOND
     }
 }
--- a/src/main/kotlin/lichenstage/placement/FleetDriver.kt
+++ b/src/main/kotlin/lichenstage/placement/FleetDriver.kt
@@ -27,7 +27,7 @@
 ) {
     private val log = LoggerFactory.getLogger("lichenstage.placement")
     private val forecast = DemandForecast(nowUs)
-    private val fleetCore = FleetCore(core.term, policy, forecast)
+    private val fleetCore = FleetCore(core.term, policy, forecast, settings.machineListLagUs)
 
     /** The drained machine that each requested replacement is for, by the id of the replacement request. */
     private val drainKeyByReplacementId = HashMap<String, DrainKey>()
--- a/src/test/kotlin/lichenstage/fleet/FleetCoreTest.kt
+++ b/src/test/kotlin/lichenstage/fleet/FleetCoreTest.kt
@@ -17,7 +17,7 @@
         mapOf("t" to MachineType("t", Resources(16.0, 0.0, 64.0), 1.0, 0.4, 30 * SECOND, 50.0, 0.5, listOf("y", "z")))
 
     private fun fleet(forecast: DemandForecast = DemandForecast(0)) =
-        FleetCore(3, FleetPolicy(), forecast).apply {
+        FleetCore(3, FleetPolicy(), forecast, LIST_LAG_US).apply {
             onMachinesListed(emptyList(), 0)
             assertEquals(CloudCall.ListAll, nextCall(0))
         }
@@ -51,7 +51,7 @@
 
     @Example
     fun `nothing is provisioned before the list of machines has been read once`() {
-        val fleet = FleetCore(3, FleetPolicy(), DemandForecast(0))
+        val fleet = FleetCore(3, FleetPolicy(), DemandForecast(0), LIST_LAG_US)
         fleet.observeDemand(demand(4.0), { null }, SECOND)
         assertEquals(CloudCall.ListAll, fleet.nextCall(SECOND)) { "the first call does not read the list" }
         assertNull(fleet.nextCall(2 * SECOND)) { "provisioned before the list was read" }
--- a/src/test/kotlin/lichenstage/fleet/FleetInventoryTest.kt
+++ b/src/test/kotlin/lichenstage/fleet/FleetInventoryTest.kt
@@ -13,7 +13,7 @@
 class FleetInventoryTest {
     private val machineTypes =
         mapOf("t" to MachineType("t", Resources(16.0, 0.0, 64.0), 1.0, 0.4, 30 * SECOND, 50.0, 0.5, listOf("y", "z")))
-    private val inventory = FleetInventory()
+    private val inventory = FleetInventory(LIST_LAG_US)
 
     private fun listed(
         name: String,
@@ -25,23 +25,23 @@
 
     @Example
     fun `a list that lags does not bring back a terminated machine`() {
-        inventory.applyListing(listOf(listed("m1"), listed("m2")), 100 * SECOND)
+        inventory.applyListing(listOf(listed("m1"), listed("m2")), 100 * SECOND, 100 * SECOND)
         inventory.remove(listOf("m1"))
-        inventory.applyListing(listOf(listed("m1"), listed("m2")), 101 * SECOND)
+        inventory.applyListing(listOf(listed("m1"), listed("m2")), 101 * SECOND, 101 * SECOND)
         assertEquals(1, inventory.allMachines.size)
     }
 
     @Example
     fun `a machine that is missing from the list is kept, and the first report of a machine determines its age`() {
         inventory.add("m1", "t", "z", true, 100 * SECOND)
-        inventory.applyListing(listOf(listed("m1"), listed("m2")), 100 * SECOND)
-        inventory.applyListing(emptyList(), 104 * SECOND)
+        inventory.applyListing(listOf(listed("m1"), listed("m2")), 100 * SECOND, 100 * SECOND)
+        inventory.applyListing(emptyList(), 104 * SECOND, 104 * SECOND)
         assertEquals(listOf(100 * SECOND, 80 * SECOND), inventory.allMachines.map { it.provisionedAtUs })
     }
 
     @Example
     fun `failed and faulty machines are terminated in the order of their addition and up to the limit`() {
-        inventory.applyListing(listOf(listed("m1"), listed("m2", ListedStatus.FAILED), listed("m3"), listed("m4")), 0)
+        inventory.applyListing(listOf(listed("m1"), listed("m2", ListedStatus.FAILED), listed("m3"), listed("m4")), 0, 0)
         inventory.applyStatus({ status(isFaulty = it == "m3") }, machineTypes, SECOND)
         inventory.terminate(listOf("m4", "unknown"))
         assertEquals(listOf("m2", "m3", "m4"), inventory.machinesToTerminate(10))
@@ -60,7 +60,7 @@
 
     @Example
     fun `excluded and terminating machines do not serve the demand`() {
-        inventory.applyListing(listOf(listed("m1"), listed("m2"), listed("m3")), 0)
+        inventory.applyListing(listOf(listed("m1"), listed("m2"), listed("m3")), 0, 0)
         inventory.terminate(listOf("m1"))
         assertEquals(2, inventory.servingMachines(emptySet()).size)
         assertEquals(1, inventory.servingMachines(setOf("m2")).size)
