Replace machines that are neither listed by the cloud nor reported by the owner of their partition

Cause: a machine was given up only on a report of its partition (silent, lost), a failure in the cloud's list, or the boot timeout. A new owner has never heard of a machine that was gone before it took over and reports nothing; the boot timeout is off once a machine was up. So the machine counted as serving for good.

The pool is not in backoff, the demand is seen.

Fix: a machine that is missing from a list which must contain it (requested more than twice the lag after the machine was known, since a machine stays listed until it is gone), and that is unknown to its owner or silent, is marked for termination. So it serves no demand at once, and the reply to its termination is the proof on which its tasks may run elsewhere; a name that is unknown to the cloud is ignored there. A listed machine is kept as before, so that a zone that is cut off causes no rentals. The same rule holds for machines that an earlier leader recorded (they counted for three boot times), drained ones and ones that never came up.

--- a/src/main/kotlin/lichenstage/fleet/FleetCore.kt
+++ b/src/main/kotlin/lichenstage/fleet/FleetCore.kt
@@ -33,6 +33,9 @@
     /** Returns the names of the machines that should get no more tasks. */
     fun cordonedMachines(): Set<String> = inventory.cordonedMachines()
 
+    /** Returns the names of the machines that were found to be gone and whose termination is not confirmed yet. */
+    fun vanishedMachines(): Set<String> = inventory.vanishedMachines()
+
     /**
      * Adds a machine that a record or a partition contains. If the age of the machine is unknown, [provisionedAtUs] is the current time.
      */
--- a/src/main/kotlin/lichenstage/fleet/FleetInventory.kt
+++ b/src/main/kotlin/lichenstage/fleet/FleetInventory.kt
@@ -33,6 +33,9 @@
 
     /** Whether the machine is to be terminated, even if tasks run on it. */
     var isTerminating = false
+
+    /** Whether the machine was found to be gone: it is missing from the cloud's list, and its worker is not heard of. */
+    var isVanished = false
 }
 
 /**
@@ -60,6 +63,9 @@
     /** Returns the names of the first [limit] machines to terminate. */
     fun machinesToTerminate(limit: Int): List<String> = machines.filterValues { it.isTerminating }.keys.take(limit)
 
+    /** Returns the names of the machines that were found to be gone and whose termination is not confirmed yet. */
+    fun vanishedMachines(): Set<String> = machines.filterValues { it.isVanished }.keys
+
     /** Returns the machines that serve the demand: those that are neither marked for termination nor in [excludedNames]. */
     fun servingMachines(excludedNames: Set<String>): Collection<FleetMachine> =
         if (excludedNames.isEmpty()) {
@@ -79,7 +85,13 @@
         if (name !in terminatedNames) machines.getOrPut(name) { FleetMachine(typeName, zone, isSpot, provisionedAtUs) }
     }
 
-    /** Applies the cloud's list, which was requested at [requestedAtUs]. A machine that is missing from the list is kept. */
+    /**
+     * Applies the cloud's list, which was requested at [requestedAtUs].
+     *
+     * A machine that is missing from the list is not removed, because only the reply to its termination proves that nothing runs on it. But
+     * once listed, a machine stays listed until it is gone, so a machine that is old enough to be in every list that the lag allows, and is
+     * not in this one, serves the demand no longer unless its worker is heard of.
+     */
     fun applyListing(
         listed: List<ListedMachine>,
         requestedAtUs: Long,
@@ -95,7 +107,7 @@
         }
     }
 
-    /** Applies the status that the partitions report, and marks lost, faulty, failed and silent machines for termination. */
+    /** Applies the status that the partitions report, and marks lost, faulty, failed, silent and vanished machines for termination. */
     fun applyStatus(
         statusOf: (String) -> MachineStatus?,
         machineTypes: Map<String, MachineType>,
@@ -117,6 +129,10 @@
         machine.isReported = status != null
         if (status != null && status.isUp) machine.hasBeenUp = true
         machine.taskCount = status?.taskCount ?: 0
+        if (machine.isMissingFromList && status?.isSilent != false) {
+            machine.isVanished = true
+            machine.isTerminating = true
+        }
         val hasBootFailed = !machine.hasBeenUp && nowUs - machine.provisionedAtUs > BOOT_TIMEOUT_FACTOR * bootUs + BOOT_TIMEOUT_MARGIN_US
         if (status?.isLost == true || status?.isFaulty == true || machine.hasFailed || hasBootFailed) machine.isTerminating = true
     }
--- a/src/main/kotlin/lichenstage/placement/FleetDriver.kt
+++ b/src/main/kotlin/lichenstage/placement/FleetDriver.kt
@@ -31,6 +31,7 @@
 
     /** The drained machine that each requested replacement is for, by the id of the replacement request. */
     private val drainKeyByReplacementId = HashMap<String, DrainKey>()
+    private var vanishedMachines = emptySet<String>()
     private var lastDecisionAtUs = Long.MIN_VALUE / 2
     private var lastObservationAtUs = Long.MIN_VALUE / 2
     private var lastDescriptionAtUs = Long.MIN_VALUE / 2
@@ -66,6 +67,7 @@
         fleetCore.terminate(core.machinesToFence())
         val excludedMachines = drainDriver()?.excludedFromCapacity.orEmpty()
         fleetCore.observe(observer.observe(excludedMachines, nowUs), nowUs)
+        logVanishedMachines()
         updateCordons()
         if (log.isDebugEnabled && nowUs - lastDescriptionAtUs >= DESCRIBE_INTERVAL_US) {
             lastDescriptionAtUs = nowUs
@@ -73,6 +75,14 @@
         }
     }
 
+    /** Logs the machines that were found to be gone since the last observation. */
+    private fun logVanishedMachines() {
+        val vanished = fleetCore.vanishedMachines()
+        val added = vanished - vanishedMachines
+        vanishedMachines = vanished
+        if (added.isNotEmpty()) log.info("Machines neither listed nor reported, to be terminated count={} machines={}", added.size, added)
+    }
+
     private fun updateCordons() {
         val drainDriver = drainDriver()
         if (drainDriver == null) return core.machines.setCordoned(fleetCore.cordonedMachines())
