Keep a job off the machine where its tasks failed, and rent another one

Cause: a machine was judged by the failures of two jobs only. Nothing kept the job off the machine on which it had just failed: empty and with the image it ranks first among the offers. And it counted as room, so that none was rented.

Fix: FailureHistory has the failures by job and machine. A job avoids a machine after a failure there for 30 s, then for 60 s (a job with room must not wait for 90 s); the leader's frames name the machines for the partitions, and a leader filters the offers of partitions whose owner ignores the field. A machine on which one job failed and that is idle counts as no room, for three machines or one in fifty at most, so another one is rented. If the job then completes a task elsewhere, the first machine is defective: it gets no tasks and is returned once it is empty. Bounds for a job that fails everywhere: after three machines without a completed task it is probably mistaken. Then its failures count against no machine (before, any two such jobs had each sound machine returned with the tasks on it), it causes no rentals, and its pause for all machines grows to 60 s. Failures are forgotten after ten minutes. Nothing is kept over a change of leader; one failure per machine suffices to learn it again. Drains use the same verdict for replacements; one mistaken job made them replace each one before.

--- a/src/main/kotlin/lichenstage/app/Controller.kt
+++ b/src/main/kotlin/lichenstage/app/Controller.kt
@@ -152,6 +152,8 @@
     private fun registerGauges() {
         metrics.gauge("leading") { if (leader != null) 1 else 0 }
         metrics.gauge("open_jobs") { leader?.openJobCount ?: 0 }
+        metrics.gauge("unsound_machines") { leader?.unsoundMachineCount ?: 0 }
+        metrics.gauge("mistaken_jobs") { leader?.mistakenJobCount ?: 0 }
         metrics.gauge("machines") { partitionActor.machineCount }
         metrics.gauge("starts_unanswered") { partitionActor.indeterminateStartCount }
         metrics.gauge("oldest_unanswered_start_s") { partitionActor.oldestIndeterminateStartAtUs?.let { (clock.now() - it) / SECOND } ?: 0 }
--- a/src/main/kotlin/lichenstage/cluster/LeaderFrames.kt
+++ b/src/main/kotlin/lichenstage/cluster/LeaderFrames.kt
@@ -70,6 +70,7 @@
  * @property acknowledgedVersion the version of the partition's state up to which the leader has received all changes
  * @property addresses the addresses of the partition's recorded machines by name; empty once the owner has acknowledged them
  * @property releases the numbers of the placement requests whose holds are released
+ * @property avoidedMachines the machines on which the partition holds no capacity for the requests of a job, by job id
  * @property cordoned the machines that get no more tasks; null means that the set is the same as in the previous frames
  */
 @Serializable
@@ -99,4 +100,8 @@
     @EncodeDefault(EncodeDefault.Mode.NEVER)
     @SerialName("saves")
     val checkpointStops: List<CheckpointStopCommand> = emptyList(),
+    /** Omitted from the frame if empty, like [checkpointStops]. Versions without this field may offer these machines. */
+    @EncodeDefault(EncodeDefault.Mode.NEVER)
+    @SerialName("avoid")
+    val avoidedMachines: Map<String, Set<String>> = emptyMap(),
 ) : Frame
--- a/src/main/kotlin/lichenstage/fleet/FleetCore.kt
+++ b/src/main/kotlin/lichenstage/fleet/FleetCore.kt
@@ -127,6 +127,7 @@
         return "type=$typeName machines=${machines.size} spot=${machines.count { it.isSpot }} up=${machines.count { it.hasBeenUp }} " +
             "idle=${machines.count { it.hasBeenUp && it.taskCount == 0 }} draining=${machines.count { it.isDraining }} " +
             "unreported=${machines.count { !it.isReported }} unlisted=${machines.count { it.isMissingFromList }} " +
+            "unsound=${machines.count { it.health != MachineHealth.SOUND }} " +
             "needed=${capacityEstimator.neededMachines(typeName, nowUs)} " +
             "expected=%.0f busy=%.0f waitingS=%.0f ".format(
                 capacityEstimator.expectedMachines(typeName, nowUs),
--- a/src/main/kotlin/lichenstage/fleet/FleetInventory.kt
+++ b/src/main/kotlin/lichenstage/fleet/FleetInventory.kt
@@ -34,6 +34,15 @@
     /** Whether the machine is to be terminated, even if tasks run on it. */
     var isTerminating = false
 
+    /** What the failures of tasks on the machine say about it. */
+    var health = MachineHealth.SOUND
+
+    /** Whether the machine is idle and counts as no capacity, since it is not known whether tasks can run on it. */
+    var isDiscounted = false
+
+    /** Whether the machine serves the demand. */
+    val isServing get() = !isTerminating && !isDiscounted && health != MachineHealth.DEFECTIVE
+
     /** Whether the machine was found to be gone: it is missing from the cloud's list, and its worker is not heard of. */
     var isVanished = false
 }
@@ -58,7 +67,11 @@
     val allMachines: Collection<FleetMachine> get() = machines.values
 
     /** Returns the names of the machines that should get no more tasks. */
-    fun cordonedMachines(): Set<String> = machines.filterValues { it.isTerminating || it.isDraining }.keys
+    fun cordonedMachines(): Set<String> =
+        machines
+            .filterValues {
+                it.isTerminating || it.isDraining || it.health == MachineHealth.DEFECTIVE
+            }.keys
 
     /** Returns the names of the first [limit] machines to terminate. */
     fun machinesToTerminate(limit: Int): List<String> = machines.filterValues { it.isTerminating }.keys.take(limit)
@@ -66,12 +79,12 @@
     /** Returns the names of the machines that were found to be gone and whose termination is not confirmed yet. */
     fun vanishedMachines(): Set<String> = machines.filterValues { it.isVanished }.keys
 
-    /** Returns the machines that serve the demand: those that are neither marked for termination nor in [excludedNames]. */
+    /** Returns the machines that serve the demand, except those in [excludedNames]. */
     fun servingMachines(excludedNames: Set<String>): Collection<FleetMachine> =
         if (excludedNames.isEmpty()) {
-            machines.values.filter { !it.isTerminating }
+            machines.values.filter { it.isServing }
         } else {
-            machines.filter { (name, machine) -> !machine.isTerminating && name !in excludedNames }.values
+            machines.filter { (name, machine) -> machine.isServing && name !in excludedNames }.values
         }
 
     /** Adds a machine, unless it has already been added or has been terminated. */
@@ -118,6 +131,20 @@
         val silentMachines = machines.keys.filter { statusOf(it)?.isSilent == true }
         if (silentMachines.size <= maxOf(MIN_SILENT_LIMIT, machines.size / SILENT_FLEET_DIVISOR)) terminate(silentMachines)
         for ((name, machine) in machines) update(machine, statusOf(name), machineTypes[machine.typeName]?.bootUs ?: DEFAULT_BOOT_US, nowUs)
+        discountSuspects()
+    }
+
+    /**
+     * Decides which idle machines count as no capacity because tasks of a job have failed there, so that another machine is provisioned for
+     * the job. The number is limited, because the job may be mistaken and fail on every machine.
+     */
+    private fun discountSuspects() {
+        val limit = maxOf(MIN_DISCOUNT_LIMIT, machines.size / DISCOUNT_FLEET_DIVISOR)
+        var discounted = 0
+        for (machine in machines.values) {
+            machine.isDiscounted = machine.health == MachineHealth.SUSPECT && machine.taskCount == 0 && discounted < limit
+            if (machine.isDiscounted) discounted++
+        }
     }
 
     private fun update(
@@ -129,12 +156,14 @@
         machine.isReported = status != null
         if (status != null && status.isUp) machine.hasBeenUp = true
         machine.taskCount = status?.taskCount ?: 0
+        machine.health = status?.health ?: MachineHealth.SOUND
         if (machine.isMissingFromList && status?.isSilent != false) {
             machine.isVanished = true
             machine.isTerminating = true
         }
         val hasBootFailed = !machine.hasBeenUp && nowUs - machine.provisionedAtUs > BOOT_TIMEOUT_FACTOR * bootUs + BOOT_TIMEOUT_MARGIN_US
-        if (status?.isLost == true || status?.isFaulty == true || machine.hasFailed || hasBootFailed) machine.isTerminating = true
+        val isUnusable = machine.health == MachineHealth.FAULTY || (machine.health == MachineHealth.DEFECTIVE && machine.taskCount == 0)
+        if (status?.isLost == true || isUnusable || machine.hasFailed || hasBootFailed) machine.isTerminating = true
     }
 
     /** Marks machines for termination. Unknown names are ignored. */
@@ -154,6 +183,10 @@
         const val MIN_SILENT_LIMIT = 2
         const val SILENT_FLEET_DIVISOR = 100
 
+        /** At most this many suspect machines count as no capacity, or in large fleets one in [DISCOUNT_FLEET_DIVISOR]. */
+        const val MIN_DISCOUNT_LIMIT = 3
+        const val DISCOUNT_FLEET_DIVISOR = 50
+
         /** A machine that has not come up after this many boot times plus the margin is considered failed. */
         const val BOOT_TIMEOUT_FACTOR = 3
         const val BOOT_TIMEOUT_MARGIN_US = 10 * SECOND
--- a/src/main/kotlin/lichenstage/fleet/FleetObservation.kt
+++ b/src/main/kotlin/lichenstage/fleet/FleetObservation.kt
@@ -11,8 +11,8 @@
     val isLost: Boolean,
     /** The number of tasks that may be running on the machine. */
     val taskCount: Int,
-    /** Whether tasks of several jobs have failed on the machine. */
-    val isFaulty: Boolean,
+    /** What the failures of tasks on the machine say about it. */
+    val health: MachineHealth,
 )
 
 /**
--- a/src/main/kotlin/lichenstage/partition/HoldTable.kt
+++ b/src/main/kotlin/lichenstage/partition/HoldTable.kt
@@ -70,11 +70,13 @@
      * If a job has several requests, a later request is only granted the tasks that the earlier ones were not granted.
      *
      * @param usableMachines the machines that accept new tasks
+     * @param avoidedMachines the machines on which a job is granted nothing, by job id
      * @param hasJobEnded returns whether a job is known to have ended; such a job is granted nothing, even if the leader does not know yet
      */
     fun grantAll(
         requests: List<PlacementRequest>,
         usableMachines: Sequence<Machine>,
+        avoidedMachines: Map<String, Set<String>>,
         nowUs: Long,
         hasJobEnded: (String) -> Boolean,
     ): List<Offer> {
@@ -83,7 +85,9 @@
         val candidates = selectCandidates(requests, usableMachines)
         return requests.sortedBy { it.requestNumber }.map { request ->
             val maxTasks = request.count - (grantedTasks[request.job] ?: 0)
-            val offer = if (hasJobEnded(request.job)) emptyOffer(request) else grant(request, maxTasks, candidates, nowUs)
+            val avoided = avoidedMachines[request.job].orEmpty()
+            val allowedMachines = if (avoided.isEmpty()) candidates else candidates.filter { it.name !in avoided }
+            val offer = if (hasJobEnded(request.job)) emptyOffer(request) else grant(request, maxTasks, allowedMachines, nowUs)
             grantedTasks.merge(request.job, offer.slots.sumOf { it.count }, Int::plus)
             offer
         }
--- a/src/main/kotlin/lichenstage/partition/LeaderFrameHandler.kt
+++ b/src/main/kotlin/lichenstage/partition/LeaderFrameHandler.kt
@@ -36,7 +36,7 @@
         for (command in frame.stops) updateAttempt(command) { it.isStopRequested = true }
         for (command in frame.clears) updateAttempt(command) { it.isClearRequested = true }
         frame.checkpointStops.forEach(::requestCheckpointStop)
-        placementOffers.grant(frame.requests, nowUs).forEach(changeLog::addOffer)
+        placementOffers.grant(frame.requests, frame.avoidedMachines, nowUs).forEach(changeLog::addOffer)
         if (frame.requests.isNotEmpty() || frame.starts.isNotEmpty() || frame.stops.isNotEmpty()) changeLog.requestFrame()
     }
 
--- a/src/main/kotlin/lichenstage/partition/PlacementOffers.kt
+++ b/src/main/kotlin/lichenstage/partition/PlacementOffers.kt
@@ -60,9 +60,14 @@
     /** Releases the holds that have expired. */
     fun expireHolds(nowUs: Long) = holdTable.expire(nowUs)
 
-    /** Holds capacity for the requests of a leader frame and returns an offer for each. */
+    /**
+     * Holds capacity for the requests of a leader frame and returns an offer for each.
+     *
+     * @param avoidedMachines the machines on which a job is granted nothing, by job id
+     */
     fun grant(
         requests: List<PlacementRequest>,
+        avoidedMachines: Map<String, Set<String>>,
         nowUs: Long,
     ): List<Offer> {
         requests.forEach { requirementsByJob[it.job] = it.requirements }
@@ -71,7 +76,7 @@
                 isUsable(it) && it.name !in cordonedMachines &&
                     !isLeaseRenewalOverdue(it, nowUs)
             }
-        return holdTable.grantAll(requests, usableMachines, nowUs) { jobCompletions.hasEnded(it, nowUs) }
+        return holdTable.grantAll(requests, usableMachines, avoidedMachines, nowUs) { jobCompletions.hasEnded(it, nowUs) }
     }
 
     /**
--- a/src/main/kotlin/lichenstage/placement/AttemptTracker.kt
+++ b/src/main/kotlin/lichenstage/placement/AttemptTracker.kt
@@ -28,14 +28,12 @@
     private val runningAttempts: RunningAttempts,
     private val runTimes: RunTimeEstimates,
     private val checkpointPreemption: CheckpointPreemption,
+    private val failureHistory: FailureHistory,
     private val isRegistered: (String) -> Boolean,
     private val listener: AttemptListener,
 ) {
     private val log = LoggerFactory.getLogger("lichenstage.placement")
 
-    /** Ids of the jobs with tasks that failed, by machine name. Failures of several jobs on one machine suggest a faulty machine. */
-    val failedJobsByMachine = HashMap<String, HashSet<String>>()
-
     /** The current time in microseconds. The checkpoints of an attempt that is found to be lost count up to this time. */
     private var currentTimeUs = 0L
 
@@ -86,6 +84,7 @@
     ) {
         if (task.cause == TaskEndCause.DONE) {
             val ranUs = attempt?.takeIf { it.startedRunningAtUs > 0 }?.progressUs(nowUs)
+            if (attempt != null) failureHistory.recordSuccess(job, machine.name, nowUs)
             if (job.markTaskDone(task.index)) {
                 if (ranUs != null) runTimes.recordCompletion(job.spec, ranUs)
                 listener.onTaskDone(job, nowUs)
@@ -165,11 +164,11 @@
     ) {
         if (task.cause == TaskEndCause.HALTED) return
         log.info("Attempt failed task={} attempt={} machine={} cause={}", task.taskId, task.attemptNumber, machine.name, task.cause)
-        if (task.cause == TaskEndCause.ERROR) failedJobsByMachine.getOrPut(machine.name) { HashSet() }.add(job.spec.id)
+        if (task.cause == TaskEndCause.ERROR) failureHistory.recordFailure(job, machine.name, nowUs)
         job.failureCount++
         // Without the backoff, a job that fails on every machine would keep taking capacity from other jobs.
         val backoffUs = (SECOND shl minOf(job.failureCount, MAX_BACKOFF_DOUBLINGS)).coerceAtMost(MAX_BACKOFF_US)
-        job.backoffUntilUs = maxOf(job.backoffUntilUs, nowUs + backoffUs / 2)
+        job.backoffUntilUs = maxOf(job.backoffUntilUs, nowUs + maxOf(backoffUs / 2, failureHistory.jobPauseUs(job, nowUs)))
     }
 
     /** Ends the attempt, records [savedProgressUs] of saved progress, and queues the task again unless it is done. */
--- a/src/main/kotlin/lichenstage/placement/FleetObserver.kt
+++ b/src/main/kotlin/lichenstage/placement/FleetObserver.kt
@@ -26,7 +26,7 @@
         machineTypes,
         DemandEstimator.estimateDemand(core.jobs.values, machineTypes, DemandInputs(nowUs)),
         excludedMachines,
-        machineStatusLookup(),
+        machineStatusLookup(nowUs),
     )
 
     /** Returns the machine use of all tasks of a job, for the demand forecast; null if the job fits no machine type. */
@@ -35,7 +35,7 @@
             serviceObjectives.hasStartObjectiveWithin(job.spec.jobClass, it.bootUs)
         }
 
-    private fun machineStatusLookup(): (String) -> MachineStatus? {
+    private fun machineStatusLookup(nowUs: Long): (String) -> MachineStatus? {
         val states =
             core.partitions.values
                 .flatMap { it.machines.values }
@@ -47,7 +47,7 @@
                     isSilent = it.isSilent,
                     isLost = it.isLost,
                     taskCount = core.machines.attemptsOn(name).size,
-                    isFaulty = core.machines.failedJobsOn(name).size >= MIN_FAILED_JOBS_OF_FAULTY_MACHINE,
+                    health = core.machines.healthOf(name, nowUs),
                 )
             }
         }
@@ -71,9 +71,4 @@
 
         override fun readyInUs(job: Job) = readiness.readyAtUs(job) - nowUs
     }
-
-    private companion object {
-        /** A machine is faulty once tasks of this many jobs have failed on it. */
-        const val MIN_FAILED_JOBS_OF_FAULTY_MACHINE = 2
-    }
 }
--- a/src/main/kotlin/lichenstage/placement/Job.kt
+++ b/src/main/kotlin/lichenstage/placement/Job.kt
@@ -3,6 +3,7 @@
 import it.unimi.dsi.fastutil.ints.Int2LongOpenHashMap
 import it.unimi.dsi.fastutil.ints.Int2ObjectLinkedOpenHashMap
 import it.unimi.dsi.fastutil.ints.IntArrayList
+import lichenstage.common.MILLI
 import lichenstage.model.JobSpec
 import java.util.BitSet
 
@@ -31,8 +32,13 @@
         readyAtUs = maxOf(recordedAtUs, submittedAtUs)
     }
 
+    private val sharedRequestKind = RequestKind.of(spec)
+
+    /** Whether the job avoids some machines for now, because its tasks have failed there. */
+    var isAvoidingMachines = false
+
     /** The kind of the requests for its tasks. */
-    val requestKind = RequestKind.of(spec)
+    val requestKind get() = if (isAvoidingMachines) sharedRequestKind.ofOneJob(spec.id) else sharedRequestKind
 
     var phase = JobPhase.OPEN
 
@@ -127,6 +133,13 @@
         if (isPlaceable && phase == JobPhase.OPEN && !doneTasks.get(index)) pendingTasks.add(index)
     }
 
+    /** Returns a text for the log: the times from the job's readiness until [completedAtUs], when its completion was recorded. */
+    fun describeTimes(completedAtUs: Long): String =
+        "job=${spec.id} class=${spec.jobClass} tasks=${spec.taskCount} " +
+            "allPlacedAfterMs=${(lastPlacedAtUs - readyAtUs).coerceAtLeast(0) / MILLI} " +
+            "runningAfterMs=${(lastRunningAtUs - readyAtUs).coerceAtLeast(0) / MILLI} " +
+            "completedAfterMs=${(completedAtUs - readyAtUs) / MILLI}"
+
     /** Removes and returns the index of the next queued task that is not done and has no attempt; -1 if there is none. */
     fun nextPendingTask(): Int {
         while (!pendingTasks.isEmpty) {
--- a/src/main/kotlin/lichenstage/placement/LeaderActor.kt
+++ b/src/main/kotlin/lichenstage/placement/LeaderActor.kt
@@ -72,6 +72,12 @@
     /** The number of open jobs, and of closed jobs with attempts that may still be running, for the metrics. */
     val openJobCount get() = core.jobs.size
 
+    /** The number of machines on which tasks have failed and that are not known to be sound, for the metrics. */
+    val unsoundMachineCount get() = core.failureHistory.unsoundMachineCount(services.clock.now())
+
+    /** The number of jobs that are probably mistaken, for the metrics. */
+    val mistakenJobCount get() = core.failureHistory.mistakenJobCount(services.clock.now())
+
     private fun createLeaderCore(options: LeaderOptions): LeaderCore {
         val catalog = services.catalog
         return LeaderCore(
--- a/src/main/kotlin/lichenstage/placement/LeaderCore.kt
+++ b/src/main/kotlin/lichenstage/placement/LeaderCore.kt
@@ -2,7 +2,6 @@
 
 import lichenstage.cluster.MachineState
 import lichenstage.cluster.PartitionFrame
-import lichenstage.common.MILLI
 import lichenstage.common.SECOND
 import lichenstage.state.WriteOutcome
 import org.slf4j.LoggerFactory
@@ -46,18 +45,27 @@
     private val readinessForecast = ReadinessForecast(runTimes, lookups.fetchUs) { jobs[it] }
     private val jobQueue = JobQueue(settings.serviceObjectives, settings.teams, runTimes, pipelineDeadlines = pipelineDeadlines)
     private val checkpointPreemption = CheckpointPreemption(runTimes)
+    internal val failureHistory = FailureHistory()
     private val completionRecorder =
         CompletionRecorder(settings.maxChangesPerTransaction, settings.placementSettings.recordDelayUs, settings.maxValueBytes, emit)
     private val outbox: PartitionOutbox = PartitionOutbox(term, LeaderOutboxSource(partitionTable, jobTable, directory), emit)
     private val reconciler = MachineReconciler(partitionTable, jobTable, unaccountedUse, directory::isRegistered, outbox)
     private val attemptTracker =
-        AttemptTracker(settings.workerLeaseUs, runningAttempts, runTimes, checkpointPreemption, directory::isRegistered, AttemptEvents())
+        AttemptTracker(
+            settings.workerLeaseUs,
+            runningAttempts,
+            runTimes,
+            checkpointPreemption,
+            failureHistory,
+            directory::isRegistered,
+            AttemptEvents(),
+        )
     private val checkpointStops = CheckpointStops(checkpointPreemption, directory, runningAttempts)
     private val attemptRecovery = AttemptRecovery(partitionTable, jobTable, attemptTracker, reconciler)
     private val roundRunner = createRoundRunner()
 
     /** The view of the machines and of the attempts on them for the registry, the fleet and drains. */
-    val machines = LeaderMachines(directory, partitionTable, runningAttempts, attemptTracker, settings.assignment)
+    val machines = LeaderMachines(directory, partitionTable, runningAttempts, failureHistory, settings.assignment)
     private var lastSweepAtUs = Long.MIN_VALUE / 2
     private var totalCores = 0.0
 
@@ -72,7 +80,7 @@
             zones,
             runningAttempts,
             outbox,
-            LeaderRoundContext(partitionTable, directory, runningAttempts, unaccountedUse),
+            LeaderRoundContext(partitionTable, directory, runningAttempts, unaccountedUse, failureHistory),
         )
     }
 
@@ -168,6 +176,7 @@
     private fun closeJob(job: Job) {
         job.phase = JobPhase.CLOSED
         completionRecorder.onJobClosed(job)
+        failureHistory.onJobClosed(job)
         reconciler.reconcileMachinesOf(job)
         jobTable.removeIfClosed(job)
     }
@@ -205,7 +214,7 @@
     /** Handles the termination of a machine, confirmed by the cloud: every attempt on the machine has ended. */
     fun onMachineTerminated(name: String) {
         attemptTracker.endLostAttempts(runningAttempts.onMachine(name).toList())
-        attemptTracker.failedJobsByMachine.remove(name)
+        failureHistory.onMachineTerminated(name)
         partitions.forEach { (id, partition) ->
             partition.machines.remove(name)
             outbox.removeMachine(id, name)
@@ -267,15 +276,7 @@
         job: Job,
         nowUs: Long,
     ) {
-        log.info(
-            "Job completed job={} class={} tasks={} allPlacedAfterMs={} runningAfterMs={} completedAfterMs={}",
-            job.spec.id,
-            job.spec.jobClass,
-            job.spec.taskCount,
-            (job.lastPlacedAtUs - job.readyAtUs).coerceAtLeast(0) / MILLI,
-            (job.lastRunningAtUs - job.readyAtUs).coerceAtLeast(0) / MILLI,
-            (nowUs - job.readyAtUs) / MILLI,
-        )
+        log.info("Job completed {}", job.describeTimes(nowUs))
         job.isCompletionWriteInFlight = false
         closeJob(job)
     }
--- a/src/main/kotlin/lichenstage/placement/LeaderDrainView.kt
+++ b/src/main/kotlin/lichenstage/placement/LeaderDrainView.kt
@@ -8,6 +8,7 @@
 import lichenstage.drain.PlacedTask
 import lichenstage.drain.TaskExecution
 import lichenstage.drain.TaskId
+import lichenstage.fleet.MachineHealth
 
 /** The leader's machines and tasks, as drain decisions see them. */
 class LeaderDrainView(
@@ -69,7 +70,7 @@
 
     override fun runningTasksByTeam() = core.machines.runningTasksByTeam()
 
-    override fun isFaulty(machine: String) = core.machines.failedJobsOn(machine).isNotEmpty()
+    override fun isFaulty(machine: String) = core.machines.healthOf(machine, clockNowUs()) != MachineHealth.SOUND
 
     /** Returns the attempts of [tasks] that may still be running. */
     fun attemptsOf(tasks: Collection<PlacedTask>): List<Attempt> =
--- a/src/main/kotlin/lichenstage/placement/LeaderMachines.kt
+++ b/src/main/kotlin/lichenstage/placement/LeaderMachines.kt
@@ -1,6 +1,7 @@
 package lichenstage.placement
 
 import lichenstage.cluster.MachineState
+import lichenstage.fleet.MachineHealth
 import lichenstage.model.PartitionAssignment
 
 /** The leader's view of the machines, for the components that add and remove machines: the durable registry, the fleet and drains. */
@@ -8,7 +9,7 @@
     private val directory: MachineDirectory,
     private val partitions: PartitionTable,
     private val runningAttempts: RunningAttempts,
-    private val attemptTracker: AttemptTracker,
+    private val failureHistory: FailureHistory,
     private val assignment: PartitionAssignment,
 ) {
     /** The number of machines with a record. */
@@ -42,8 +43,11 @@
     /** Returns the attempts that may be running on a machine. */
     fun attemptsOn(machine: String): Collection<Attempt> = runningAttempts.onMachine(machine)
 
-    /** Returns the ids of the jobs with tasks that failed on a machine. Failures of several jobs suggest a faulty machine. */
-    fun failedJobsOn(machine: String): Set<String> = attemptTracker.failedJobsByMachine[machine].orEmpty()
+    /** Returns what the failures of tasks on a machine say about it. */
+    fun healthOf(
+        machine: String,
+        nowUs: Long,
+    ): MachineHealth = failureHistory.healthOf(machine, nowUs)
 
     /** Returns the number of running tasks per team. Teams without running tasks are left out. */
     fun runningTasksByTeam(): Map<String, Int> = runningAttempts.runningTasksByTeam()
--- a/src/main/kotlin/lichenstage/placement/LeaderViews.kt
+++ b/src/main/kotlin/lichenstage/placement/LeaderViews.kt
@@ -23,6 +23,7 @@
     private val directory: MachineDirectory,
     private val runningAttempts: RunningAttempts,
     private val unaccountedUse: UnaccountedUse,
+    private val failureHistory: FailureHistory,
 ) : RoundContext {
     override fun partition(id: String) = partitions[id]
 
@@ -31,6 +32,11 @@
         held: Int,
     ) = directory.usableSlots(machine, held) { runningAttempts.onMachine(machine).size }
 
+    override fun avoidedMachines(
+        job: Job,
+        nowUs: Long,
+    ) = failureHistory.avoidedMachines(job, nowUs)
+
     override fun unaccountedUse() = unaccountedUse.total()
 
     override fun reachablePartitions(nowUs: Long) = partitions.reachablePartitions(nowUs)
--- a/src/main/kotlin/lichenstage/placement/PartitionOutbox.kt
+++ b/src/main/kotlin/lichenstage/placement/PartitionOutbox.kt
@@ -93,6 +93,7 @@
         requests: List<PlacementRequest> = emptyList(),
         starts: List<StartCommand> = emptyList(),
         releases: List<Long> = emptyList(),
+        avoidedMachines: Map<String, Set<String>> = emptyMap(),
     ): Long {
         val seq = (lastSeqByPartition[id] ?: 0) + 1
         lastSeqByPartition[id] = seq
@@ -117,6 +118,7 @@
                 clears = clears,
                 cordoned = partitionSync.takeCordonedIfDue(id, partition, nowUs, source::isExcludedFromPlacement),
                 checkpointStops = checkpointStopsByPartition.remove(id).orEmpty(),
+                avoidedMachines = avoidedMachines,
             )
         emit(LeaderEffect.SendFrame(id, frame))
         return seq
--- a/src/main/kotlin/lichenstage/placement/RequestRound.kt
+++ b/src/main/kotlin/lichenstage/placement/RequestRound.kt
@@ -12,6 +12,8 @@
     val requests: List<JobRequest>,
     nowUs: Long,
     alphaUs: Long,
+    /** The machines on which no task of a job may be placed, by job id. */
+    val avoidedMachines: Map<String, Set<String>> = emptyMap(),
 ) {
     private val requestNumbers = requests.mapTo(HashSet()) { it.request.requestNumber }
     private val offers = HashMap<Long, HashMap<String, List<HeldSlots>>>()
--- a/src/main/kotlin/lichenstage/placement/RequestRoundRunner.kt
+++ b/src/main/kotlin/lichenstage/placement/RequestRoundRunner.kt
@@ -18,6 +18,12 @@
         held: Int,
     ): Int
 
+    /** Returns the machines on which no task of a job is placed for now, because tasks of the job have failed there. */
+    fun avoidedMachines(
+        job: Job,
+        nowUs: Long,
+    ): Set<String>
+
     /** Returns the resources in use that can't be attributed to a team. They count against the limits of every team. */
     fun unaccountedUse(): Resources
 
@@ -91,16 +97,28 @@
         val unaccountedUse = context.unaccountedUse()
         val jobs = waitingJobs()
         waitingJobCount = jobs.size
+        jobs.forEach { it.isAvoidingMachines = context.avoidedMachines(it, nowUs).isNotEmpty() }
         val requests =
             planner.plan(jobs, nowUs) { spec, planned ->
                 runningAttempts.allowedTaskCount(spec.team, spec.resources, unaccountedUse, planned)
             }
         if (requests.isEmpty()) return
-        currentRound = RequestRound(requests, nowUs, settings.alphaUs)
+        val avoidedMachines = findAvoidedMachines(requests, nowUs)
+        currentRound = RequestRound(requests, nowUs, settings.alphaUs, avoidedMachines)
         val placementRequests = requests.map { it.request }
-        assignment.partitions.forEach { outbox.send(it, nowUs, requests = placementRequests) }
+        assignment.partitions.forEach { outbox.send(it, nowUs, requests = placementRequests, avoidedMachines = avoidedMachines) }
     }
 
+    /** Returns the machines that the requested jobs avoid, by job id. Jobs that avoid none are left out. */
+    private fun findAvoidedMachines(
+        requests: List<JobRequest>,
+        nowUs: Long,
+    ): Map<String, Set<String>> =
+        requests
+            .map { it.job }
+            .filter { it.isAvoidingMachines }
+            .associate { it.spec.id to context.avoidedMachines(it, nowUs) }
+
     /** Starts tasks on the roomiest of the held slots, and releases the other slots. */
     private fun endRound(
         endingRound: RequestRound,
@@ -161,7 +179,12 @@
     ): List<Attempt> {
         val job = jobRequest.job
         val maxTasks = minOf(jobRequest.request.count, runningAttempts.allowedTaskCount(job.spec.team, job.spec.resources, unaccountedUse))
-        val offers = endingRound.offersFor(jobRequest.request.requestNumber).mapValues { (_, held) -> held.mapNotNull(::usableSlots) }
+        // A partition whose owner has an earlier version offers these machines too.
+        val avoidedMachines = endingRound.avoidedMachines[job.spec.id].orEmpty()
+        val offers =
+            endingRound.offersFor(jobRequest.request.requestNumber).mapValues { (_, held) ->
+                held.filter { it.machine !in avoidedMachines }.mapNotNull(::usableSlots)
+            }
         val createdAttempts = ArrayList<Attempt>()
         for (slot in OfferSelection.selectRoomiest(offers, maxTasks, zones::zoneOf, zones.remainingTasksByZone(job, offers))) {
             val index = job.nextPendingTask()
--- a/src/test/kotlin/lichenstage/cluster/ProductionSamplesTest.kt
+++ b/src/test/kotlin/lichenstage/cluster/ProductionSamplesTest.kt
@@ -40,9 +40,9 @@
         val closed: Set<String>? = null,
     )
 
-    /** A partition owner that runs the version in production ignores checkpoint stops and applies all other content of the frame. */
+    /** A partition owner that runs the version in production ignores the newer fields and applies all other content of the frame. */
     @Example
-    fun `the version in production ignores checkpoint stops, and a frame without checkpoint stops omits the field`() {
+    fun `the version in production ignores checkpoint stops and avoided machines, and a frame without them omits the fields`() {
         val codec =
             Cbor {
                 ignoreUnknownKeys = true
@@ -51,7 +51,8 @@
         val stop = AttemptCommand("m", "j-1/0", 7)
         val plain = LeaderFrame("z/0", 1, 2, 3, 4, stops = listOf(stop), cordoned = setOf("m"))
         val saving = plain.copy(checkpointStops = listOf(CheckpointStopCommand("m", "j-1/1", 8, 5)))
-        for (frame in listOf(plain, saving)) {
+        val avoiding = plain.copy(avoidedMachines = mapOf("j-1" to setOf("m")))
+        for (frame in listOf(plain, saving, avoiding)) {
             val read =
                 codec.decodeFromByteArray(
                     ProductionLeaderFrame.serializer(),
@@ -62,6 +63,9 @@
         }
         val hasSavesField = listOf(plain, saving).map { String(FrameCodec.encode(it), Charsets.ISO_8859_1).contains("saves") }
         assertEquals(listOf(false, true), hasSavesField) { "$hasSavesField" }
+        val hasAvoidField = listOf(plain, avoiding).map { String(FrameCodec.encode(it), Charsets.ISO_8859_1).contains("avoid") }
+        assertEquals(listOf(false, true), hasAvoidField) { "$hasAvoidField" }
+        assertEquals(avoiding, FrameCodec.decode(FrameCodec.encode(avoiding)))
     }
 
     /** The current names of renamed frame classes, by their names in production, which the samples use. Serial names are unchanged. */
--- a/src/test/kotlin/lichenstage/fleet/FleetCoreTest.kt
+++ b/src/test/kotlin/lichenstage/fleet/FleetCoreTest.kt
@@ -35,7 +35,7 @@
     private fun status(
         taskCount: Int,
         isLost: Boolean = false,
-    ) = MachineStatus(isUp = !isLost, isSilent = false, isLost = isLost, taskCount = taskCount, isFaulty = false)
+    ) = MachineStatus(isUp = !isLost, isSilent = false, isLost = isLost, taskCount = taskCount, health = MachineHealth.SOUND)
 
     @Example
     fun `a request with an indeterminate outcome is repeated under its name, and no later request has this name`() {
@@ -167,7 +167,7 @@
             names.forEach { fleet.addMachine(it, "t", "z", false, 0) }
             fleet.observeDemand(
                 demand(9.0),
-                { MachineStatus(isUp = true, isSilent = true, isLost = false, taskCount = 1, isFaulty = false) },
+                { MachineStatus(isUp = true, isSilent = true, isLost = false, taskCount = 1, health = MachineHealth.SOUND) },
                 100 * SECOND,
             )
             assertEquals((count == 1), fleet.cordonedMachines().isNotEmpty()) { "$count silent: ${fleet.cordonedMachines()}" }
--- a/src/test/kotlin/lichenstage/fleet/FleetInventoryTest.kt
+++ b/src/test/kotlin/lichenstage/fleet/FleetInventoryTest.kt
@@ -20,8 +20,8 @@
         status: ListedStatus = ListedStatus.RUNNING,
     ) = ListedMachine(name, "t", "z", true, status, 20 * SECOND)
 
-    private fun status(isFaulty: Boolean = false) =
-        MachineStatus(isUp = true, isSilent = false, isLost = false, taskCount = 1, isFaulty = isFaulty)
+    private fun status(health: MachineHealth = MachineHealth.SOUND) =
+        MachineStatus(isUp = true, isSilent = false, isLost = false, taskCount = 1, health = health)
 
     @Example
     fun `a list that lags does not bring back a terminated machine`() {
@@ -42,7 +42,7 @@
     @Example
     fun `failed and faulty machines are terminated in the order of their addition and up to the limit`() {
         inventory.applyListing(listOf(listed("m1"), listed("m2", ListedStatus.FAILED), listed("m3"), listed("m4")), 0, 0)
-        inventory.applyStatus({ status(isFaulty = it == "m3") }, machineTypes, SECOND)
+        inventory.applyStatus({ status(if (it == "m3") MachineHealth.FAULTY else MachineHealth.SOUND) }, machineTypes, SECOND)
         inventory.terminate(listOf("m4", "unknown"))
         assertEquals(listOf("m2", "m3", "m4"), inventory.machinesToTerminate(10))
         assertEquals(listOf("m2", "m3"), inventory.machinesToTerminate(2))
--- a/src/test/kotlin/lichenstage/fleet/RestrictedDemandTest.kt
+++ b/src/test/kotlin/lichenstage/fleet/RestrictedDemandTest.kt
@@ -15,7 +15,7 @@
     private val zones = listOf("x", "y", "z")
     private val machineTypes = mapOf("t" to MachineType("t", Resources(16.0, 0.0, 64.0), 1.0, 0.4, 30 * SECOND, 50.0, 0.5, zones))
     private val fleet = FleetCore(3, FleetPolicy(), DemandForecast(0), LIST_LAG_US).apply { onMachinesListed(emptyList(), 0) }
-    private val idle = MachineStatus(isUp = true, isSilent = false, isLost = false, taskCount = 0, isFaulty = false)
+    private val idle = MachineStatus(isUp = true, isSilent = false, isLost = false, taskCount = 0, health = MachineHealth.SOUND)
 
     private fun demand(
         machines: Double,
--- a/src/test/kotlin/lichenstage/fleet/VanishedMachinesTest.kt
+++ b/src/test/kotlin/lichenstage/fleet/VanishedMachinesTest.kt
@@ -20,7 +20,7 @@
     private val fleet = FleetCore(3, FleetPolicy(), DemandForecast(0), LIST_LAG_US)
     private var nowUs = 0L
 
-    private val up = MachineStatus(isUp = true, isSilent = false, isLost = false, taskCount = 1, isFaulty = false)
+    private val up = MachineStatus(isUp = true, isSilent = false, isLost = false, taskCount = 1, health = MachineHealth.SOUND)
 
     private fun listed(
         name: String,
