Keep done tasks listed until a copy of their start is refused, unless their job is complete

What can happen: a task that is done and whose order was answered was cleared at once. If the job was cancelled afterwards, a copy of the order started the task again after the confirmed cancellation (it exits with done as soon as it has its image). Users count each start after a confirmed cancellation, and past cancel_s it is ran_cancelled.

What can't: a moved or stopped task keeps its entry on the machine until the machine has shown a token above that of the order; an owner that is replaced within a second has a higher term than all tokens that were reserved before (reservations have the ownership as a precondition), and whatever clears the attempt carries it; a machine that hangs keeps its entries or loses its session.

Fix: done tasks are cleared under the same proof as all others, unless the leader says that their job's completion is recorded, so that nobody can cancel it (a new field of its frame, left out where it is empty). Machines with 75 entries get a newer token every ten seconds in place of every minute, since those with 150 get no tasks.

The simulated worker plays a repeat as the protocol says, with the time of the image, and the checker judges it (ran_twice, ran_cancelled; for the limit of a team it counts nothing, since a task is on its machine from the moment it has its image until it exits).

--- a/src/main/kotlin/lichenstage/cluster/LeaderFrames.kt
+++ b/src/main/kotlin/lichenstage/cluster/LeaderFrames.kt
@@ -71,6 +71,7 @@
  * @property addresses the addresses of the partition's recorded machines by name; empty once the owner has acknowledged them
  * @property releases the numbers of the placement requests whose holds are released
  * @property avoidedMachines the machines on which the partition holds no capacity for the requests of a job, by job id
+ * @property completeJobs those jobs of the [clears] whose completion is recorded
  * @property cordoned the machines that get no more tasks; null means that the set is the same as in the previous frames
  */
 @Serializable
@@ -104,4 +105,8 @@
     @EncodeDefault(EncodeDefault.Mode.NEVER)
     @SerialName("avoid")
     val avoidedMachines: Map<String, Set<String>> = emptyMap(),
+    /** Omitted from the frame if empty, like [checkpointStops]. Without it, attempts are cleared later. */
+    @EncodeDefault(EncodeDefault.Mode.NEVER)
+    @SerialName("complete")
+    val completeJobs: Set<String> = emptySet(),
 ) : Frame
--- a/src/main/kotlin/lichenstage/partition/LeaderFrameHandler.kt
+++ b/src/main/kotlin/lichenstage/partition/LeaderFrameHandler.kt
@@ -34,7 +34,12 @@
         // The leader does not need the capacity that remains in a hold after the starts of this frame.
         frame.starts.forEach { placementOffers.release(it.requestNumber) }
         for (command in frame.stops) updateAttempt(command) { it.isStopRequested = true }
-        for (command in frame.clears) updateAttempt(command) { it.isClearRequested = true }
+        for (command in frame.clears) {
+            updateAttempt(command) {
+                it.isClearRequested = true
+                if (it.job in frame.completeJobs) it.isJobComplete = true
+            }
+        }
         frame.checkpointStops.forEach(::requestCheckpointStop)
         placementOffers.grant(frame.requests, frame.avoidedMachines, nowUs).forEach(changeLog::addOffer)
         if (frame.requests.isNotEmpty() || frame.starts.isNotEmpty() || frame.stops.isNotEmpty()) changeLog.requestFrame()
--- a/src/main/kotlin/lichenstage/partition/OrderFencing.kt
+++ b/src/main/kotlin/lichenstage/partition/OrderFencing.kt
@@ -22,6 +22,7 @@
     /** The machines with unwanted starts that may still be executed. */
     private val machinesWithUnwantedStarts = LinkedHashSet<Machine>()
     private var lastClearFencingAtUs = Long.MIN_VALUE / 2
+    private var lastClearFencingOfAllAtUs = Long.MIN_VALUE / 2
 
     /** Whether the last call of [raiseTokens] found no token for a machine that needs a newer one. */
     var lacksTokens = false
@@ -74,9 +75,13 @@
     ) {
         lacksTokens = false
         raiseToken(machinesWithUnwantedStarts.filter(::needsTokenForUnwantedStarts), FenceReason.UNWANTED_START)
-        if (nowUs - lastClearFencingAtUs < CLEAR_FENCING_INTERVAL_US) return
+        val sinceLastUs = nowUs - lastClearFencingAtUs
+        if (sinceLastUs < CROWDED_CLEAR_FENCING_INTERVAL_US) return
+        val isRoundForAll = nowUs - lastClearFencingOfAllAtUs >= CLEAR_FENCING_INTERVAL_US
         lastClearFencingAtUs = nowUs
-        raiseToken(machines.filter(::needsTokenForClears), FenceReason.CLEARS)
+        if (isRoundForAll) lastClearFencingOfAllAtUs = nowUs
+        val candidates = if (isRoundForAll) machines else machines.filter { it.attempts.size >= CROWDED_MACHINE_ATTEMPTS }
+        raiseToken(candidates.filter(::needsTokenForClears), FenceReason.CLEARS)
     }
 
     /** Assigns one newer token, shared by all of [machines], or sets [lacksTokens] if none is left. */
@@ -138,5 +143,9 @@
     private companion object {
         /** The shortest time between two rounds of newer tokens for clears. */
         const val CLEAR_FENCING_INTERVAL_US = 60 * SECOND
+
+        /** The same for machines that list at least [CROWDED_MACHINE_ATTEMPTS] attempts. Machines with twice as many get no new tasks. */
+        const val CROWDED_CLEAR_FENCING_INTERVAL_US = 10 * SECOND
+        const val CROWDED_MACHINE_ATTEMPTS = 75
     }
 }
--- a/src/main/kotlin/lichenstage/partition/WorkerAttempt.kt
+++ b/src/main/kotlin/lichenstage/partition/WorkerAttempt.kt
@@ -25,6 +25,9 @@
     var isStopRequested = false
     var isClearRequested = false
 
+    /** Whether the leader has said that all tasks of the job are done and recorded, so that nobody can cancel the job any more. */
+    var isJobComplete = false
+
     /** The time that the task gets to save a checkpoint before it is stopped; null if no checkpoint stop is requested. */
     var checkpointLeewayUs: Long? = null
 
@@ -107,17 +110,18 @@
 
     /**
      * Returns whether a machine with [fencingToken] could execute a repeat of the start after a clear, and the repeat would do harm. A
-     * repeat does no harm to a task that is done and whose order got a reply, because the task only exits once more.
+     * repeat of the start of a done task only makes the task exit once more. That does no harm once the job is complete. Before that, the
+     * job may be cancelled, and then no task of it may start.
      */
     private fun isRepeatHarmful(fencingToken: Long) =
-        isStartExecutableUnder(fencingToken) && (cause != TaskEndCause.DONE || isStartIndeterminate)
+        isStartExecutableUnder(fencingToken) && (cause != TaskEndCause.DONE || !isJobComplete || isStartIndeterminate)
 
     /**
      * Returns whether the worker may forget this attempt (invariant 6).
      *
-     * After a clear, a late repeat of an executed order would start the task again. A done task would only exit once more. Any other task
-     * would run while a newer attempt runs elsewhere, so the worker keeps the attempt until the machine has shown a newer token than the
-     * order's. The same applies to a done task whose order got no reply.
+     * After a clear, a late repeat of an executed order would start the task again. The task would run while a newer attempt runs
+     * elsewhere, or start after the cancellation of its job. So the worker keeps the attempt until the machine has shown a newer token
+     * than the order's. It may forget a done task of a complete job at once, unless the order got no reply.
      */
     fun isClearable(
         nowUs: Long,
--- a/src/main/kotlin/lichenstage/placement/JobTable.kt
+++ b/src/main/kotlin/lichenstage/placement/JobTable.kt
@@ -1,6 +1,7 @@
 package lichenstage.placement
 
 import lichenstage.cluster.TaskPhase
+import lichenstage.common.LruMap
 
 /**
  * The leader's jobs, and the rule that decides when their tasks may be placed (invariant 5).
@@ -15,6 +16,16 @@
     /** Open jobs, and closed jobs with attempts that may still be running, by job id. */
     val byId = LinkedHashMap<String, Job>()
 
+    private val completeJobs = LruMap<String, Unit>(MAX_COMPLETE_JOBS)
+
+    /** Remembers that the completion of a job is recorded. */
+    fun markComplete(job: String) {
+        completeJobs[job] = Unit
+    }
+
+    /** Returns whether the completion of a job is recorded, as far as this leader remembers. */
+    fun isComplete(job: String) = job in completeJobs.keys
+
     /** Adds a job. Returns false if the table already contains it. */
     fun add(job: Job): Boolean {
         if (byId.containsKey(job.spec.id)) return false
@@ -43,4 +54,8 @@
         byId.values.filter { it.phase != JobPhase.CLOSED }.associate { job ->
             job.spec.id to listOf(job.spec.taskCount - job.remainingTasks, job.liveAttempts.values.count { it.phase != TaskPhase.PENDING })
         }
+
+    private companion object {
+        const val MAX_COMPLETE_JOBS = 10_000
+    }
 }
--- a/src/main/kotlin/lichenstage/placement/LeaderCore.kt
+++ b/src/main/kotlin/lichenstage/placement/LeaderCore.kt
@@ -278,6 +278,7 @@
     ) {
         log.info("Job completed {}", job.describeTimes(nowUs))
         job.isCompletionWriteInFlight = false
+        jobTable.markComplete(job.spec.id)
         closeJob(job)
     }
 
--- a/src/main/kotlin/lichenstage/placement/LeaderViews.kt
+++ b/src/main/kotlin/lichenstage/placement/LeaderViews.kt
@@ -14,6 +14,8 @@
 
     override fun addresses(partition: String) = directory.addressesIn(partition)
 
+    override fun isJobComplete(job: String) = jobs.isComplete(job)
+
     override fun isExcludedFromPlacement(machine: String) = !directory.canReceiveTasks(machine)
 }
 
--- a/src/main/kotlin/lichenstage/placement/PartitionOutbox.kt
+++ b/src/main/kotlin/lichenstage/placement/PartitionOutbox.kt
@@ -19,6 +19,9 @@
     /** Returns the addresses of the recorded machines of a partition, by machine name. */
     fun addresses(partition: String): Map<String, String>
 
+    /** Returns whether the completion of a job is recorded. */
+    fun isJobComplete(job: String): Boolean
+
     /** Whether the partition must place no more tasks on the machine. */
     fun isExcludedFromPlacement(machine: String): Boolean
 }
@@ -119,6 +122,7 @@
                 cordoned = partitionSync.takeCordonedIfDue(id, partition, nowUs, source::isExcludedFromPlacement),
                 checkpointStops = checkpointStopsByPartition.remove(id).orEmpty(),
                 avoidedMachines = avoidedMachines,
+                completeJobs = clears.mapTo(HashSet()) { it.taskId.substringBefore('/') }.filterTo(HashSet(), source::isJobComplete),
             )
         emit(LeaderEffect.SendFrame(id, frame))
         return seq
--- a/src/test/kotlin/lichenstage/world/RuleChecker.kt
+++ b/src/test/kotlin/lichenstage/world/RuleChecker.kt
@@ -96,6 +96,26 @@
         cancelledAtUs[job.id]?.let { if (nowUs - it > cancellationLimitUs) violations += "ran_cancelled: $key started at $nowUs" }
     }
 
+    /**
+     * Handles a task that was started once more on a machine that has kept its result, and exited as soon as it had its image. Such a task
+     * starts, but is on its machine for no time, since that time begins when the task has its image. So it uses nothing of the team's limit.
+     */
+    fun onTaskExitedAtStart(
+        machine: String,
+        job: SimulatedJob,
+        index: Int,
+        nowUs: Long,
+    ) {
+        starts++
+        reruns++
+        val key = "${job.id}/$index"
+        val others = tasksOnMachines[job.id]?.get(index).orEmpty().filter { it.machine != machine }
+        if (others.isNotEmpty()) violations += "ran_twice: $key on $machine and ${others[0].machine} at $nowUs"
+        val cancelledUs = cancelledAtUs[job.id] ?: return
+        startsAfterCancellation++
+        if (nowUs - cancelledUs > cancellationLimitUs) violations += "ran_cancelled: $key started at $nowUs"
+    }
+
     /** Checks the zone constraint of the job against its other tasks that are on machines now. The name of a machine contains its zone. */
     private fun checkZone(
         machine: String,
