Discount no suspect machine that is draining, log a faulty machine once, and shorten two functions of the fleet

ScaleOut.createDemandRequest and FleetDriver.onProvisionReply lose expressions that the formatter broke over five lines. No other behaviour changes.

--- a/src/main/kotlin/lichenstage/fleet/FleetInventory.kt
+++ b/src/main/kotlin/lichenstage/fleet/FleetInventory.kt
@@ -142,7 +142,8 @@
         val limit = maxOf(MIN_DISCOUNT_LIMIT, machines.size / DISCOUNT_FLEET_DIVISOR)
         var discounted = 0
         for (machine in machines.values) {
-            machine.isDiscounted = machine.health == MachineHealth.SUSPECT && machine.taskCount == 0 && discounted < limit
+            val isIdleSuspect = machine.health == MachineHealth.SUSPECT && machine.taskCount == 0 && !machine.isDraining
+            machine.isDiscounted = isIdleSuspect && discounted < limit
             if (machine.isDiscounted) discounted++
         }
     }
--- a/src/main/kotlin/lichenstage/fleet/ScaleOut.kt
+++ b/src/main/kotlin/lichenstage/fleet/ScaleOut.kt
@@ -44,15 +44,7 @@
     ): ProvisionRequest? =
         machineTypes.firstNotNullOfOrNull { machineType ->
             val machines = servingMachines(machineType.name)
-            val shortage = capacityEstimator.neededMachines(machineType.name, nowUs) - machines.size
-            requestRestrictedMachines(machineType, machines, nowUs)
-                ?: if (shortage >
-                    0
-                ) {
-                    requestMachines(machineType, machines, shortage, nowUs)
-                } else {
-                    requestSpotSwap(machineType, machines, nowUs)
-                }
+            requestRestrictedMachines(machineType, machines, nowUs) ?: requestUnrestrictedMachines(machineType, machines, nowUs)
         }
 
     /** Creates a request for machines that are missing for jobs which can only use some of the machines of their type. */
@@ -72,6 +64,17 @@
             }
         }
 
+    /** Creates a request for machines that are missing for the whole demand, or for a cheaper machine if none are missing. */
+    private fun requestUnrestrictedMachines(
+        machineType: MachineType,
+        machines: List<FleetMachine>,
+        nowUs: Long,
+    ): ProvisionRequest? {
+        val shortage = capacityEstimator.neededMachines(machineType.name, nowUs) - machines.size
+        if (shortage > 0) return requestMachines(machineType, machines, shortage, nowUs)
+        return requestSpotSwap(machineType, machines, nowUs)
+    }
+
     /**
      * Creates a request for missing machines. On-demand machines come first as long as jobs that may not run on spot machines need them.
      * After that, spot machines come before on-demand ones.
--- a/src/main/kotlin/lichenstage/placement/FailureHistory.kt
+++ b/src/main/kotlin/lichenstage/placement/FailureHistory.kt
@@ -68,10 +68,12 @@
         job: String,
         nowUs: Long,
     ) {
+        val wasFaulty = healthOf(machine, nowUs) == MachineHealth.FAULTY
         val jobs = jobsByMachine.getOrPut(machine) { LinkedHashSet() }
         if (!jobs.add(job)) return
         if (jobs.size > MAX_JOBS_PER_MACHINE) jobs.remove(jobs.first())
-        if (healthOf(machine, nowUs) == MachineHealth.FAULTY) log.info("Tasks of several jobs failed machine={} jobs={}", machine, jobs)
+        val isFaulty = healthOf(machine, nowUs) == MachineHealth.FAULTY
+        if (isFaulty && !wasFaulty) log.info("Tasks of several jobs failed machine={} jobs={}", machine, jobs)
     }
 
     /** Records that an attempt of [job] has completed on [machine]. */
--- a/src/main/kotlin/lichenstage/placement/FleetDriver.kt
+++ b/src/main/kotlin/lichenstage/placement/FleetDriver.kt
@@ -121,10 +121,8 @@
         val request = message.request
         val machines = fleetCore.onProvisionReply(request, message.result, nowUs)
         if (machines.isEmpty()) return
-        drainKeyByReplacementId
-            .remove(
-                fleetCore.replacementIdOf(request),
-            )?.let { drainDriver()?.onReplacementProvisioned(it, machines.first()) }
+        val drainKey = drainKeyByReplacementId.remove(fleetCore.replacementIdOf(request))
+        if (drainKey != null) drainDriver()?.onReplacementProvisioned(drainKey, machines.first())
         log.info("Machines provisioned count={} type={} zone={} machines={}", machines.size, request.typeName, request.zone, machines)
     }
 
--- a/src/test/kotlin/lichenstage/fleet/SuspectMachinesTest.kt
+++ b/src/test/kotlin/lichenstage/fleet/SuspectMachinesTest.kt
@@ -59,6 +59,17 @@
         assertTrue(fleet.nextCall(SECOND) !is CloudCall.Provision) { "a machine was rented although the suspect one is in use" }
     }
 
+    /** Guards against a surplus machine that is kept, and charged, because it became suspect while it was drained. */
+    @Example
+    fun `a surplus machine that is draining when it becomes suspect is still terminated`() {
+        listOf("a", "b").forEach { fleet.addMachine(it, "t", "z", false, 0) }
+        observe(0.0, 100 * SECOND) { status(MachineHealth.SOUND, taskCount = 1) }
+        observe(0.0, 160 * SECOND) { status(MachineHealth.SOUND, taskCount = 1) }
+        assertEquals(setOf("a", "b"), fleet.cordonedMachines()) { "the surplus is not drained" }
+        observe(0.0, 161 * SECOND) { status(MachineHealth.SUSPECT) }
+        assertEquals(CloudCall.Terminate(listOf("a", "b")), fleet.nextCall(161 * SECOND))
+    }
+
     @Example
     fun `at most three suspect machines, or one in fifty, are replaced at a time`() {
         for (i in 0 until 300) fleet.addMachine("m$i", "t", "z", true, 0)
