--- a/src/test/kotlin/lichenstage/world/LateOrdersSimulationTest.kt
+++ b/src/test/kotlin/lichenstage/world/LateOrdersSimulationTest.kt
@@ -93,7 +93,28 @@
             simulateOutageBeforeTokens(seed, Mutation.REPLIED_WITHOUT_FENCING)
         }
 
+    /**
+     * Guards against copies of answered orders that start done tasks of cancelled jobs again. The three tasks of each job have very different
+     * run times, so that the first is done, recorded and cleared when the job is cancelled.
+     */
+    @Example
+    fun `late copies of answered orders start no done task of a cancelled job`() {
+        for (seed in PARTLY_DONE_SEEDS) {
+            val cluster = SimulatedCluster(seed, profile = LATE_COPIES)
+            for (n in 0 until 30) {
+                cluster.script(5 * SECOND + n * SECOND) { submitUnevenRunTimes(n) }
+                cluster.script(25 * SECOND + n * SECOND) { cancel("j-$n", n % 3) }
+            }
+            cluster.run(CANCELLED_US, CANCELLED_CALM_US)
+            cluster.assertRulesHeld(seed)
+            assertEquals(0, cluster.checker.doneTaskStartsAfterCancellation) { "seed $seed: done tasks of cancelled jobs were started" }
+        }
+    }
+
     private companion object {
+        /** A cluster in which few orders are held, and repeats of answered orders come up to two minutes late. */
+        val LATE_COPIES = ClusterProfile(heldOrderShare = 0.01, maxHoldUs = 120 * SECOND)
+        val PARTLY_DONE_SEEDS = 1L..20L
         val SEEDS = 1L..30L
         const val FAULTS_US = 120_000_000L
         const val CALM_US = 780_000_000L
--- a/src/test/kotlin/lichenstage/world/RuleChecker.kt
+++ b/src/test/kotlin/lichenstage/world/RuleChecker.kt
@@ -71,6 +71,10 @@
     /** Starts of tasks of jobs whose cancellation was already confirmed. */
     var startsAfterCancellation = 0
 
+    /** Those of [startsAfterCancellation] whose task was done on the same machine before. */
+    var doneTaskStartsAfterCancellation = 0
+        private set
+
     /** Tasks that were lost because the lease of their worker expired or their machine was terminated. */
     var tasksLost = 0
 
@@ -113,6 +117,7 @@
         if (others.isNotEmpty()) violations += "ran_twice: $key on $machine and ${others[0].machine} at $nowUs"
         val cancelledUs = cancelledAtUs[job.id] ?: return
         startsAfterCancellation++
+        doneTaskStartsAfterCancellation++
         if (nowUs - cancelledUs > cancellationLimitUs) violations += "ran_cancelled: $key started at $nowUs"
     }
 
