--- a/src/test/kotlin/lichenstage/standin/DrainCheck.kt
+++ b/src/test/kotlin/lichenstage/standin/DrainCheck.kt
@@ -148,7 +148,7 @@
         zone: String,
     ): WorkerStandIn {
         val neverBoots = workers.size >= MACHINE_COUNT && workers.size % 4 == 0
-        val profile = WorkerProfile(deployment.portsByLabel, LEASE_MS, TASK_DURATION_MS, HEARTBEAT_INTERVAL_MS, neverBoots)
+        val profile = WorkerProfile(deployment.portsByLabel, LEASE_MS, TASK_DURATION_MS, HEARTBEAT_INTERVAL_MS, neverBoots = neverBoots)
         return WorkerStandIn(vertx, name, zone, deployment.allocatePort(), profile, observer).also { workers += it }
     }
 
--- a/src/test/kotlin/lichenstage/standin/WorkerObserver.kt
+++ b/src/test/kotlin/lichenstage/standin/WorkerObserver.kt
@@ -28,6 +28,12 @@
      * executes it.
      */
     fun onDelayedOrderDue(tasks: List<String>) = Unit
+
+    /** Returns the milliseconds after which a copy of an answered direct order that starts [tasks] arrives. Null means that none does. */
+    fun orderCopyDelayMs(tasks: List<String>): Long? = null
+
+    /** Called when a copy of an answered direct order arrives, before the worker checks its fencing token and agent epoch. */
+    fun onOrderCopyDue(tasks: List<String>) = Unit
 }
 
 /**
@@ -37,6 +43,7 @@
  * @property leaseMs the time for which a worker keeps its tasks after it sent the last heartbeat that got a reply
  * @property taskDurationMs the time for which each task runs
  * @property heartbeatIntervalMs the time between two heartbeats
+ * @property oddTaskFactor how many times as long the tasks with an odd index run
  * @property neverBoots whether the machine stays in the state `starting` for good
  */
 internal class WorkerProfile(
@@ -44,5 +51,6 @@
     val leaseMs: Long,
     val taskDurationMs: Long,
     val heartbeatIntervalMs: Long,
+    val oddTaskFactor: Int = 1,
     val neverBoots: Boolean = false,
 )
--- a/src/test/kotlin/lichenstage/standin/WorkerStandIn.kt
+++ b/src/test/kotlin/lichenstage/standin/WorkerStandIn.kt
@@ -39,6 +39,9 @@
     /** When the lease began: when the last heartbeat that got a reply was sent, or when the previous lease expired. */
     private var leaseStartedAtMs = System.currentTimeMillis()
     private val tasksByAttempt = LinkedHashMap<Pair<String, Long>, Task>()
+
+    /** The tasks whose result the machine keeps: if one is started again, it exits at once. */
+    private val doneTasks = HashSet<String>()
     private var heartbeatTimer = 0L
     private var lastHeartbeatAtMs = 0L
     private var isHeartbeatInFlight = false
@@ -81,10 +84,24 @@
             return
         }
         val isRefused = isOrder && !isValid(body)
-        if (isOrder && !isRefused) execute(body)
+        if (isOrder && !isRefused) executeWithCopy(body, startedTasks)
         request.response().setStatusCode(if (isRefused) CONFLICT else OK).end(heartbeatJson().toBuffer())
     }
 
+    /** Executes a direct order, and its copy later if the observer wants one. */
+    private fun executeWithCopy(
+        order: JsonObject,
+        startedTasks: List<String>,
+    ) {
+        execute(order)
+        val copyDelayMs = if (startedTasks.isEmpty()) null else observer.orderCopyDelayMs(startedTasks)
+        if (copyDelayMs == null) return
+        vertx.setTimer(copyDelayMs) {
+            observer.onOrderCopyDue(startedTasks)
+            if (isUp && isValid(order)) execute(order)
+        }
+    }
+
     /** Returns whether the direct order carries the current fencing token, or a higher one, and the current agent epoch. */
     private fun isValid(order: JsonObject) = (order.getLong("warrant") ?: 0) >= fencingToken && order.getLong("tenure") == agentEpoch
 
@@ -212,7 +229,13 @@
         tasksByAttempt[key] = task
         observer.onTaskStarted(key.first, name)
         scheduleEarlyHeartbeat()
-        vertx.setTimer(profile.taskDurationMs) { if (tasksByAttempt[key] === task) endTask(key, task, TaskEndCause.DONE) }
+        if (key.first in doneTasks) return endTask(key, task, TaskEndCause.DONE)
+        vertx.setTimer(durationMs(key.first)) { if (tasksByAttempt[key] === task) endTask(key, task, TaskEndCause.DONE) }
+    }
+
+    private fun durationMs(task: String): Long {
+        val isOdd = task.substringAfter('/').toInt() % 2 == 1
+        return if (isOdd) profile.oddTaskFactor * profile.taskDurationMs else profile.taskDurationMs
     }
 
     private fun endTask(
@@ -223,6 +246,7 @@
         if (task.status == "ended") return
         task.status = "ended"
         task.cause = cause
+        if (cause == TaskEndCause.DONE) doneTasks += key.first
         observer.onTaskEnded(key.first, name)
         if (cause == TaskEndCause.HALTED) observer.onTaskStopped(key.first)
         scheduleEarlyHeartbeat()
