--- a/src/test/kotlin/lichenstage/world/RuleChecker.kt
+++ b/src/test/kotlin/lichenstage/world/RuleChecker.kt
@@ -65,6 +65,9 @@
     var starts = 0
         private set
 
+    /** Attempts that have failed. */
+    var failedAttempts = 0
+
     /** Starts of tasks that were already done. */
     var reruns = 0
 
--- a/src/test/kotlin/lichenstage/world/SimulatedCluster.kt
+++ b/src/test/kotlin/lichenstage/world/SimulatedCluster.kt
@@ -291,6 +291,11 @@
         machines[worker].hungUntilUs = nowUs + durationUs
     }
 
+    /** Makes every task fail on a machine from now on. */
+    fun makeFaulty(number: Int) {
+        machines[number].isFaulty = true
+    }
+
     /** Lets the cloud terminate a machine without notice. Does nothing if the profile has no machine churn. */
     fun terminateMachine(number: Int) {
         if (profile.hasMachineChurn) machines.terminate(listOf(machines[number].name))
--- a/src/test/kotlin/lichenstage/world/SimulatedWorker.kt
+++ b/src/test/kotlin/lichenstage/world/SimulatedWorker.kt
@@ -48,6 +48,9 @@
     private val keptResults = HashSet<String>()
     var hungUntilUs = 0L
 
+    /** Whether every task fails on the machine. */
+    var isFaulty = false
+
     fun isHung(nowUs: Long) = nowUs < hungUntilUs
 
     fun createHeartbeat(): Heartbeat {
@@ -220,7 +223,9 @@
                 hasChanged = true
             }
             if (task.phase != TaskPhase.RUNNING || nowUs < task.endsUs) continue
-            endTask(task, if (random.nextInt(15) == 0) TaskEndCause.ERROR else TaskEndCause.DONE)
+            val hasFailed = random.nextInt(15) == 0 || isFaulty
+            if (hasFailed) checker.failedAttempts++
+            endTask(task, if (hasFailed) TaskEndCause.ERROR else TaskEndCause.DONE)
             hasChanged = true
         }
         return hasChanged
