--- a/src/test/kotlin/lichenstage/fleet/VanishedMachinesTest.kt
+++ b/src/test/kotlin/lichenstage/fleet/VanishedMachinesTest.kt
@@ -113,17 +113,27 @@
 
     /** Guards against a wave of machines taken without notice, whose termination calls are refused for a while. */
     @Example
-    fun `300 vanished machines are replaced while their terminations are refused, and then all terminated`() {
-        val names = List(300) { "m$it" }
+    fun `hundreds of vanished machines are replaced while their terminations are refused, and then all terminated`() {
+        VanishedMachinesTest().loseMachines(machines = 300, lost = 300)
+        VanishedMachinesTest().loseMachines(machines = 6_000, lost = 2_000)
+    }
+
+    private fun loseMachines(
+        machines: Int,
+        lost: Int,
+    ) {
+        val names = List(machines) { "m$it" }
+        val lostNames = names.take(lost).toSet()
+        val remainingNames = names.drop(lost)
         list(0, *names.toTypedArray())
-        observe(listOf(demand(300.0))) { up }
-        list(20 * SECOND)
-        val terminated = ArrayList<String>()
+        observe(listOf(demand(machines.toDouble(), zone = null))) { up }
+        list(20 * SECOND, *remainingNames.toTypedArray())
+        val terminated = HashSet<String>()
         var provisioned = 0
         var refused = 0
-        while (nowUs < 120 * SECOND && (terminated.size < 300 || provisioned < 300)) {
+        while (nowUs < 120 * SECOND && (terminated.size < lost || provisioned < lost)) {
             nowUs += SECOND / 5
-            observe(listOf(demand(300.0))) { if (it in names) null else up }
+            observe(listOf(demand(machines.toDouble(), zone = null))) { if (it in lostNames) null else up }
             when (val call = fleet.nextCall(nowUs)) {
                 is CloudCall.Terminate -> {
                     if (nowUs < 30 * SECOND) {
@@ -140,7 +150,7 @@
                 }
 
                 CloudCall.ListAll -> {
-                    fleet.onMachinesListed(List(provisioned) { listed("n$it", 0) }, nowUs)
+                    fleet.onMachinesListed((remainingNames + List(provisioned) { "n$it" }).map { listed(it, 0) }, nowUs)
                 }
 
                 null -> {
@@ -149,7 +159,7 @@
             }
         }
         assertTrue(refused > 0) { "no termination was refused" }
-        assertEquals(names.toSet(), terminated.toSet()) { "${terminated.size} of 300 machines were terminated" }
-        assertEquals(300, provisioned) { "$provisioned machines were rented in place of 300" }
+        assertEquals(lostNames, terminated) { "${terminated.size} of $lost machines were terminated" }
+        assertEquals(lost, provisioned) { "$provisioned machines were rented in place of $lost" }
     }
 }
